--- /dev/null
+++ b/src/core/strong_type.h
@@ -0,0 +1,63 @@
+/** Strong typedefs: identifiers that can't be mixed up with each other or with plain values. */
+#pragma once
+
+#include <compare>
+#include <concepts>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace Tanagertally {
+
+/** A strongly typed integer identifier. Each Tag makes a type of its own. */
+template<typename Tag, std::integral Rep = std::uint64_t>
+struct StrongInt {
+    Rep value{}; ///< The number itself.
+
+    constexpr StrongInt() = default;
+    constexpr explicit StrongInt(Rep number)
+        : value(number)
+    {
+    }
+    friend constexpr auto operator<=>(const StrongInt &, const StrongInt &) = default;
+};
+
+/** A strongly typed text identifier. Each Tag makes a type of its own. */
+template<typename Tag>
+struct StrongString {
+    std::string value; ///< The text itself.
+
+    StrongString() = default;
+    explicit StrongString(std::string text)
+        : value(std::move(text))
+    {
+    }
+    /** @return Whether no name is set. */
+    bool empty() const
+    {
+        return this->value.empty();
+    }
+    friend auto operator<=>(const StrongString &, const StrongString &) = default;
+};
+
+} // namespace Tanagertally
+
+/** Hash of a strongly typed integer. */
+template<typename Tag, typename Rep>
+struct std::hash<Tanagertally::StrongInt<Tag, Rep>> {
+    std::size_t operator()(const Tanagertally::StrongInt<Tag, Rep> &id) const noexcept
+    {
+        return std::hash<Rep>{}(id.value);
+    }
+};
+
+/** Hash of a strongly typed text. */
+template<typename Tag>
+struct std::hash<Tanagertally::StrongString<Tag>> {
+    std::size_t operator()(const Tanagertally::StrongString<Tag> &id) const noexcept
+    {
+        return std::hash<std::string>{}(id.value);
+    }
+};
