--- a/cmake/TanagertallyTargets.cmake
+++ b/cmake/TanagertallyTargets.cmake
@@ -5,7 +5,7 @@
 target_link_libraries(tanagertally_options INTERFACE Threads::Threads Boost::headers)
 target_link_options(tanagertally_options INTERFACE -fuse-ld=lld)
 # Asio and Beast are used header-only; Outcome and MSM need no library.
-target_compile_definitions(tanagertally_options INTERFACE BOOST_ERROR_CODE_HEADER_ONLY BOOST_ASIO_NO_DEPRECATED)
+target_compile_definitions(tanagertally_options INTERFACE BOOST_ERROR_CODE_HEADER_ONLY)
 
 # tanagertally_library(NAME SOURCES ... LINK ...): a static library of one layer.
 function(tanagertally_library name)
--- a/src/controllers/peer_message_type.h
+++ b/src/controllers/peer_message_type.h
@@ -19,7 +19,6 @@
 struct Hello {
     std::uint32_t protocol = PeerProtocolVersion; ///< Protocol version of the sender.
     InstanceIdentity identity; ///< Who the sender is.
-    ConfigVersion configInForce; ///< Version of the configuration that the sender has in force.
 };
 
 /** Tasks of one team that run at the sender. */
