--- a/src/core/time_type.h
+++ b/src/core/time_type.h
@@ -12,7 +12,6 @@
     using period = std::nano;
     using duration = std::chrono::nanoseconds;
     using time_point = std::chrono::time_point<ControlClock>;
-    static constexpr bool is_steady = true;
 };
 
 using Duration = std::chrono::nanoseconds; ///< A span of time.
