--- /dev/null
+++ b/src/blackboard/blackboard.h
@@ -0,0 +1,62 @@
+/** The blackboard: the state that all controllers of one entry instance read and write. */
+#pragma once
+
+#include "blackboard/config_type.h"
+#include "blackboard/endpoint_base.h"
+#include "blackboard/instance_lifecycle.h"
+#include "blackboard/job_base.h"
+#include "blackboard/peer_base.h"
+#include "blackboard/run_time_base.h"
+#include "blackboard/stats_type.h"
+#include "blackboard/task_queue_base.h"
+#include "core/random_base.h"
+
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace Tanagertally {
+
+/** Load of one kind of request. */
+struct KindLoad {
+    RunTimeEstimate runTime; ///< Learned run times.
+    std::uint32_t running = 0; ///< Attempts in flight.
+    std::uint32_t waiting = 0; ///< Tasks that wait.
+};
+
+/** Load of one team. */
+struct TeamLoad {
+    std::uint32_t running = 0; ///< Attempts in flight here.
+    std::uint32_t waiting = 0; ///< Tasks that wait here.
+};
+
+/** State of one entry instance. Owned by the control thread. */
+struct Blackboard {
+    InstanceIdentity identity; ///< Who this instance is.
+    InstanceLifecycle lifecycle; ///< Its state.
+    TimePoint now{}; ///< Time of the event being handled.
+    RandomEngine random; ///< Random numbers.
+    FleetConfig config; ///< Configuration in force; version 0 until one is learned.
+    EndpointTable endpoints; ///< Endpoints of the own failure domain.
+    JobTable jobs; ///< Jobs that this instance is home of.
+    TaskQueue queue; ///< Waiting tasks.
+    PeerTable peers; ///< Links to other instances.
+    std::unordered_map<KindName, KindLoad> kinds; ///< Load by kind.
+    std::unordered_map<TeamName, TeamLoad> teams; ///< Load by team.
+    std::vector<JobId> touchedJobs; ///< Jobs whose tasks changed and that may have to be answered.
+    std::vector<ListedInstance> listedInstances; ///< Entry instances in the instance list.
+    std::vector<FailureDomain> domains; ///< All failure domains, sorted.
+    CoordinatorStats stats; ///< Figures for metrics.
+};
+
+/** @return The load of a kind, started from its configuration if it is new. */
+KindLoad &kindLoad(Blackboard &board, const KindName &kind);
+
+/** @return Whether a kind may run more than once, by the configuration in force. */
+bool isIdempotent(const Blackboard &board, const KindName &kind);
+
+/** @return Whether every task of a job may run more than once. */
+bool isIdempotent(const Blackboard &board, const JobSpec &job);
+
+} // namespace Tanagertally
