--- a/cmake/TanagertallyTargets.cmake
+++ b/cmake/TanagertallyTargets.cmake
@@ -1,6 +1,6 @@
 # Common settings of every target: warnings as errors and the include root.
 add_library(tanagertally_options INTERFACE)
-target_compile_options(tanagertally_options INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor -Werror)
+target_compile_options(tanagertally_options INTERFACE -Wall -Wextra -Wpedantic -Wshadow=local -Wnon-virtual-dtor -Werror)
 target_include_directories(tanagertally_options INTERFACE ${CMAKE_SOURCE_DIR}/src)
 target_link_libraries(tanagertally_options INTERFACE Threads::Threads Boost::headers)
 target_link_options(tanagertally_options INTERFACE -fuse-ld=lld)
--- a/src/blackboard/blackboard.h
+++ b/src/blackboard/blackboard.h
@@ -45,6 +45,7 @@
     std::unordered_map<KindName, KindLoad> kinds; ///< Load by kind.
     std::unordered_map<TeamName, TeamLoad> teams; ///< Load by team.
     std::vector<JobId> touchedJobs; ///< Jobs whose tasks changed and that may have to be answered.
+    std::vector<WorkerName> saidLeaving; ///< Workers whose endpoints said that they are leaving, not yet passed on to peers.
     std::vector<ListedInstance> listedInstances; ///< Entry instances in the instance list.
     std::vector<FailureDomain> domains; ///< All failure domains, sorted.
     CoordinatorStats stats; ///< Figures for metrics.
--- a/src/blackboard/job_base.h
+++ b/src/blackboard/job_base.h
@@ -33,6 +33,7 @@
     std::uint8_t attempts = 0; ///< Attempts that may have reached an endpoint.
     std::uint8_t refusals = 0; ///< Attempts that certainly did not start.
     std::uint8_t inFlight = 0; ///< Attempts in flight.
+    EndpointId lastFailedOn; ///< Endpoint on which it failed last; 0 if none.
     TaskAnswer answer; ///< Its answer once it ended; its verdict is kept up to date before.
 };
 
@@ -43,6 +44,21 @@
     DurableClaim, ///< A claim row and a durable job; another instance may adopt it once this one is fenced.
 };
 
+/** A team's key: callers' own keys are names within their team. */
+struct TeamKey {
+    TeamName team; ///< The team.
+    JobKey key; ///< The key.
+    friend bool operator==(const TeamKey &, const TeamKey &) = default;
+};
+
+/** Hash of a team's key. */
+struct TeamKeyHash {
+    std::size_t operator()(const TeamKey &name) const noexcept
+    {
+        return std::hash<JobKey>{}(name.key) * 31 + std::hash<TeamName>{}(name.team);
+    }
+};
+
 /** A job that this instance is home of. */
 struct JobRecord {
     JobId id; ///< Its number.
@@ -58,9 +74,11 @@
     std::uint32_t running = 0; ///< Tasks that run.
     std::uint32_t ended = 0; ///< Tasks that ended.
     std::uint32_t startLimit = UINT32_MAX; ///< Tasks below this index may start; the durable high-water mark.
+    std::uint32_t exactInFlight = 0; ///< Attempts of non-idempotent tasks in flight; their outcome is waited for.
     bool failing = false; ///< A task failed or the job was cancelled: nothing more is started.
     ErrorCode failure = ErrorCode::Internal; ///< Why it is failing.
     std::string failureMessage; ///< Why it is failing, for a person.
+    bool answering = false; ///< Whether its answer is made and being recorded.
     std::shared_ptr<const JobAnswer> answer; ///< Its answer; null until there is one.
     std::vector<ReplyTarget> waiters; ///< Calls that await the answer.
 };
@@ -74,17 +92,17 @@
 public:
     /**
      * Add a job.
-     * @param key Its key.
-     * @pre No job of this key is in the table.
+     * @param name Its team and key.
+     * @pre No job of this name is in the table.
      * @return Its record; valid until it is removed.
      */
-    JobRecord &add(const JobKey &key);
+    JobRecord &add(const TeamKey &name);
 
     /** @return The record of a job, or null. */
     JobRecord *find(JobId id);
 
-    /** @return The record of the job under a key, or null. */
-    JobRecord *find(const JobKey &key);
+    /** @return The record of the job under a team's key, or null. */
+    JobRecord *find(const TeamKey &name);
 
     /** @param id Job to remove. */
     void remove(JobId id);
@@ -103,7 +121,7 @@
 
 private:
     std::unordered_map<JobId, JobRecord> records; ///< All jobs.
-    std::unordered_map<JobKey, JobId> byKey; ///< Job of each key.
+    std::unordered_map<TeamKey, JobId, TeamKeyHash> byKey; ///< Job of each key.
     std::uint64_t lastId = 0; ///< Last number given.
 };
 
--- /dev/null
+++ b/src/controllers/admission.cpp
@@ -0,0 +1,123 @@
+#include "controllers/admission_func.h"
+
+#include "controllers/quota_func.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace Tanagertally {
+
+namespace {
+
+constexpr Duration NoEndpointRetry = std::chrono::seconds(1);
+constexpr Duration ShortestRetry = std::chrono::milliseconds(50);
+constexpr double InfeasibleQuantile = 0.05;
+constexpr std::uint64_t SamplesToJudge = 50; // measured run times before a kind is called infeasible
+constexpr double RetrySpread = 0.5; // random addition to the time to come back, as a share of it
+
+/** Slots that this instance can count on, its own and those that peers reported free. */
+std::uint32_t slotsInReach(const Blackboard &board)
+{
+    std::uint32_t slots = 0;
+    for (const auto &[id, endpoint] : board.endpoints.all()) {
+        const EndpointState state = endpoint.lifecycle.state();
+        if (state == EndpointState::Live || state == EndpointState::Trial) {
+            slots += endpoint.usableSlots();
+        }
+    }
+    for (const auto &[id, peer] : board.peers.all()) {
+        if (peer.identity.domain == board.identity.domain) {
+            slots += peer.freeSlots;
+        }
+    }
+    return slots;
+}
+
+Duration waitingWork(const Blackboard &board)
+{
+    Duration work{};
+    for (const auto &[kind, load] : board.kinds) {
+        work += load.runTime.mean() * load.waiting;
+    }
+    return work;
+}
+
+Duration workOf(Blackboard &board, const JobSpec &job)
+{
+    Duration work{};
+    for (const TaskSpec &task : job.tasks) {
+        work += kindLoad(board, task.kind).runTime.mean();
+    }
+    return work;
+}
+
+Duration withSpread(Blackboard &board, Duration wait)
+{
+    const double factor = 1.0 + RetrySpread * static_cast<double>(drawBelow(board.random, 1000)) / 1000.0;
+    return std::chrono::duration_cast<Duration>(std::max(wait, ShortestRetry) * factor);
+}
+
+std::optional<AdmissionRefusal> checkQuota(Blackboard &board, const TeamName &team, const JobSpec &job, Duration work)
+{
+    const std::uint32_t quota = localQuota(board, team);
+    if (quota == UINT32_MAX) {
+        return std::nullopt;
+    }
+    const auto ahead = static_cast<double>(board.teams[team].waiting);
+    const Duration mean = work / static_cast<std::int64_t>(job.tasks.size());
+    const Duration wait = std::chrono::duration_cast<Duration>(mean * (ahead / quota));
+    const Duration finish = wait + std::max(mean, work / static_cast<std::int64_t>(quota));
+    if (finish <= job.timeout && wait <= board.config.policy.maxQueueWait) {
+        return std::nullopt;
+    }
+    return AdmissionRefusal{makeError(ErrorCode::QuotaExceeded, "the team's quota is used up", "team"), withSpread(board, wait)};
+}
+
+} // namespace
+
+std::optional<Error> checkJob(const Blackboard &board, const JobSpec &job)
+{
+    if (job.tasks.empty() || job.tasks.size() > MaxTasksPerJob) {
+        return makeError(ErrorCode::BadInput, "a job has 1 to 1000 tasks", "tasks");
+    }
+    if (job.timeout <= Duration::zero() || job.timeout > LongestTimeout) {
+        return makeError(ErrorCode::BadInput, "the timeout is more than 0 and at most 1 h", "timeoutMs");
+    }
+    for (std::size_t index = 0; index < job.tasks.size(); ++index) {
+        const KindName &kind = job.tasks[index].kind;
+        if (findKind(board.config, kind) == nullptr) {
+            return makeError(ErrorCode::BadInput, fmt::format("unknown kind of request \"{}\"", kind.value),
+                             fmt::format("tasks[{}].kind", index));
+        }
+        const auto load = board.kinds.find(kind);
+        const bool judged = load != board.kinds.end() && load->second.runTime.samples() >= SamplesToJudge;
+        if (judged && load->second.runTime.quantile(InfeasibleQuantile) > job.timeout * 2) {
+            return makeError(ErrorCode::Infeasible, "no endpoint can finish this kind of request within the timeout",
+                             fmt::format("tasks[{}].kind", index));
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<AdmissionRefusal> checkAdmission(Blackboard &board, const TeamName &team, const JobSpec &job)
+{
+    const std::uint32_t slots = slotsInReach(board);
+    if (slots == 0) {
+        return AdmissionRefusal{makeError(ErrorCode::Unavailable, "no endpoint of this failure domain takes work"),
+                                withSpread(board, NoEndpointRetry)};
+    }
+    const Duration work = workOf(board, job);
+    if (std::optional<AdmissionRefusal> refusal = checkQuota(board, team, job, work)) {
+        return refusal;
+    }
+    const Duration wait = waitingWork(board) / static_cast<std::int64_t>(slots);
+    const Duration finish = wait + work / static_cast<std::int64_t>(slots);
+    if (wait <= board.config.policy.maxQueueWait && finish <= job.timeout) {
+        return std::nullopt;
+    }
+    const Duration excess = std::max(wait - board.config.policy.maxQueueWait, finish - job.timeout);
+    return AdmissionRefusal{makeError(ErrorCode::Overloaded, "the job can't be finished in time"), withSpread(board, excess)};
+}
+
+} // namespace Tanagertally
--- /dev/null
+++ b/src/controllers/coordinator.cpp
@@ -0,0 +1,358 @@
+#include "controllers/coordinator.h"
+
+#include "controllers/drain_controller.h"
+#include "controllers/member_controller.h"
+#include "controllers/recovery_controller.h"
+#include "controllers/request_controller.h"
+
+#include <array>
+
+namespace Tanagertally {
+
+namespace {
+
+constexpr Duration LongestSleep = std::chrono::seconds(1);
+
+std::array<std::uint64_t, 4> drawSecret(RandomEngine &random)
+{
+    return {random(), random(), random(), random()};
+}
+
+/** All controllers of one entry instance and the order in which they see each event. */
+class CoordinatorImpl final : public Coordinator
+{
+public:
+    explicit CoordinatorImpl(CoordinatorOptions options);
+
+    void handle(TimePoint now, Event event, ActionList &actions) override;
+    void advance(TimePoint now, ActionList &actions) override;
+    TimePoint nextDeadline() const override;
+    CoordinatorStats stats() const override;
+
+private:
+    void begin(TimePoint now, ActionList &actions);
+    void finish();
+    void reportReadiness();
+    void exitWhenDrained();
+
+    void on(KeysRequested &event);
+    void on(JobSubmitted &event);
+    void on(JobFetched &event);
+    void on(JobCancelled &event);
+    void on(CallerGone &event);
+    void on(OperatorAsked &event);
+    void on(AttemptEnded &event);
+    void on(ProbeEnded &event);
+    void on(PeerUp &event);
+    void on(PeerDown &event);
+    void on(PeerUnreachable &event);
+    void on(PeerMessageReceived &event);
+    void on(PlatformReplied &event);
+    void on(InstancesListed &event);
+    void on(StopRequested &event);
+
+    void onMessage(PeerRecord &peer, Hello &message);
+    void onMessage(PeerRecord &peer, Heartbeat &message);
+    void onMessage(PeerRecord &peer, ForwardedSubmit &message);
+    void onMessage(PeerRecord &peer, ForwardedFetch &message);
+    void onMessage(PeerRecord &peer, ForwardedCancel &message);
+    void onMessage(PeerRecord &peer, ForwardedReply &message);
+    void onMessage(PeerRecord &peer, ConfigOffer &message);
+    void onMessage(PeerRecord &peer, DrainNotice &message);
+    void onMessage(PeerRecord &peer, SlotRequest &message);
+    void onMessage(PeerRecord &peer, SlotGrant &message);
+    void onMessage(PeerRecord &peer, SlotReturn &message);
+    void onMessage(PeerRecord &peer, ForwardedQuery &message);
+    void onMessage(PeerRecord &peer, QueryRows &message);
+
+    Blackboard board; ///< The state.
+    Outbox outbox; ///< Where actions go.
+    PlatformCalls platform; ///< Requests to the platform.
+    GroupCommit commits; ///< Writes in groups.
+    StartLease lease; ///< Lease for durable jobs.
+    ReplySender replies; ///< Sends replies.
+    EndpointController endpoints; ///< Endpoints.
+    DispatchController dispatch; ///< Attempts.
+    JobController jobs; ///< Jobs.
+    KeyController keys; ///< Issued keys.
+    ForwardController forwards; ///< Forwarded requests.
+    ClaimController claims; ///< Claims.
+    DurableController durables; ///< Durable jobs.
+    RecoveryController recovery; ///< Recovery of durable jobs.
+    RequestController requests; ///< Requests of callers.
+    ConfigController config; ///< Fleet configuration.
+    SlotController slots; ///< Lending of slots.
+    MemberController members; ///< Peers.
+    DrainController drains; ///< Drains.
+    InstanceState reported = InstanceState::Learning; ///< State that the adapters were told.
+};
+
+CoordinatorImpl::CoordinatorImpl(CoordinatorOptions options)
+    : platform(outbox)
+    , commits(board, platform)
+    , lease(board, platform)
+    , replies(board, outbox)
+    , endpoints(board, outbox)
+    , dispatch(board, outbox, endpoints, lease, options.choice)
+    , jobs(board, outbox, replies, dispatch)
+    , keys(board, drawSecret(board.random))
+    , forwards(board, outbox, replies)
+    , claims(board, platform, commits)
+    , durables(board, outbox, platform, commits, claims, jobs, replies, lease)
+    , recovery(board, outbox, platform, commits, durables)
+    , requests(board, replies, keys, forwards, claims, durables, jobs, platform)
+    , config(board, outbox, platform, std::move(options.initialConfig))
+    , slots(board, outbox, endpoints)
+    , members(board, outbox, config, slots, endpoints, std::move(options.peers))
+    , drains(board, outbox, platform, endpoints)
+{
+    this->board.identity = std::move(options.identity);
+    this->endpoints.onProbeAnswered([this](EndpointId id) { this->dispatch.endpointAnswered(id); });
+    this->lease.onRegained([this] { this->dispatch.leaseRegained(); });
+    this->commits.onFenced([this] {
+        this->outbox.log("fenced");
+        this->board.lifecycle.apply(InstanceSignal::StopAsked);
+    });
+}
+
+void CoordinatorImpl::begin(TimePoint now, ActionList &actions)
+{
+    assert(now >= this->board.now);
+    this->board.now = now;
+    this->outbox.collectInto(actions);
+}
+
+void CoordinatorImpl::handle(TimePoint now, Event event, ActionList &actions)
+{
+    this->begin(now, actions);
+    std::visit([this](auto &one) { this->on(one); }, event);
+    this->finish();
+}
+
+void CoordinatorImpl::advance(TimePoint now, ActionList &actions)
+{
+    this->begin(now, actions);
+    this->lease.advance();
+    this->endpoints.advance();
+    this->dispatch.advance();
+    this->jobs.advance();
+    this->forwards.advance();
+    this->durables.advance();
+    this->recovery.advance();
+    this->config.advance();
+    this->members.advance();
+    this->drains.advance();
+    this->keys.advance();
+    this->finish();
+}
+
+void CoordinatorImpl::finish()
+{
+    this->dispatch.pump();
+    this->durables.settle();
+    this->jobs.settle();
+    this->slots.settle();
+    this->drains.settle();
+    this->exitWhenDrained();
+    this->reportReadiness();
+}
+
+TimePoint CoordinatorImpl::nextDeadline() const
+{
+    const std::array deadlines
+        = {this->board.now + LongestSleep, this->lease.nextDeadline(),    this->endpoints.nextDeadline(), this->dispatch.nextDeadline(),
+           this->jobs.nextDeadline(),      this->forwards.nextDeadline(), this->durables.nextDeadline(),  this->recovery.nextDeadline(),
+           this->config.nextDeadline(),    this->members.nextDeadline(),  this->drains.nextDeadline()};
+    return std::max(this->board.now, *std::min_element(deadlines.begin(), deadlines.end()));
+}
+
+CoordinatorStats CoordinatorImpl::stats() const
+{
+    CoordinatorStats stats = this->board.stats;
+    stats.jobsHeld = this->board.jobs.size();
+    stats.endpoints = this->board.endpoints.all().size();
+    for (const auto &[id, endpoint] : this->board.endpoints.all()) {
+        stats.endpointsEjected += endpoint.lifecycle.state() == EndpointState::Ejected ? 1 : 0;
+    }
+    return stats;
+}
+
+void CoordinatorImpl::reportReadiness()
+{
+    const InstanceState state = this->board.lifecycle.state();
+    if (state == this->reported) {
+        return;
+    }
+    this->reported = state;
+    this->outbox.log("instance-state", {{"state", std::string(toString(state))}});
+    this->outbox.emit(SetReadiness{state == InstanceState::Serving, std::string(toString(state))});
+}
+
+void CoordinatorImpl::exitWhenDrained()
+{
+    const bool drained
+        = this->board.lifecycle.state() == InstanceState::Draining && this->jobs.unanswered() == 0 && this->dispatch.inFlight() == 0;
+    if (drained && this->board.lifecycle.apply(InstanceSignal::Drained)) {
+        this->outbox.emit(Exit{});
+    }
+}
+
+void CoordinatorImpl::on(KeysRequested &event)
+{
+    this->requests.handle(event);
+}
+
+void CoordinatorImpl::on(JobSubmitted &event)
+{
+    this->requests.submit(
+        Submission{event.request, RequestOrigin::Caller, std::move(event.team), std::move(event.key), std::move(event.job)});
+}
+
+void CoordinatorImpl::on(JobFetched &event)
+{
+    const JobQuestion::Kind kind = event.wait ? JobQuestion::Kind::Answer : JobQuestion::Kind::State;
+    this->requests.ask(JobQuestion{event.request, RequestOrigin::Caller, std::move(event.team), std::move(event.key), kind});
+}
+
+void CoordinatorImpl::on(JobCancelled &event)
+{
+    this->requests.ask(
+        JobQuestion{event.request, RequestOrigin::Caller, std::move(event.team), std::move(event.key), JobQuestion::Kind::Cancel});
+}
+
+void CoordinatorImpl::on(CallerGone & /*event*/)
+{
+    // The job goes on: the caller may resubmit under its key. The adapter drops a reply that nobody awaits.
+}
+
+void CoordinatorImpl::on(OperatorAsked &event)
+{
+    this->outbox.emit(ReplyToOperator{event.request, makeError(ErrorCode::Unavailable, "the operators' language is not served yet"), {}});
+}
+
+void CoordinatorImpl::on(AttemptEnded &event)
+{
+    this->dispatch.handle(std::move(event));
+}
+
+void CoordinatorImpl::on(ProbeEnded &event)
+{
+    this->endpoints.handle(event);
+}
+
+void CoordinatorImpl::on(PeerUp &event)
+{
+    const PeerRecord &peer = this->members.peerUp(event);
+    this->forwards.peerUp(peer);
+}
+
+void CoordinatorImpl::on(PeerDown &event)
+{
+    this->members.peerDown(event.peer);
+    this->forwards.peerDown(event.peer);
+    this->recovery.peerLost();
+}
+
+void CoordinatorImpl::on(PeerUnreachable &event)
+{
+    this->forwards.peerUnreachable(event.address);
+}
+
+void CoordinatorImpl::on(PeerMessageReceived &event)
+{
+    PeerRecord *peer = this->board.peers.find(event.peer);
+    if (peer != nullptr) {
+        std::visit([&](auto &message) { this->onMessage(*peer, message); }, event.message);
+    }
+}
+
+void CoordinatorImpl::on(PlatformReplied &event)
+{
+    this->platform.handle(std::move(event));
+}
+
+void CoordinatorImpl::on(InstancesListed &event)
+{
+    this->members.handle(event.list);
+    this->endpoints.handle(event.list);
+}
+
+void CoordinatorImpl::on(StopRequested & /*event*/)
+{
+    if (this->board.lifecycle.apply(InstanceSignal::StopAsked)) {
+        this->members.announce();
+    }
+}
+
+void CoordinatorImpl::onMessage(PeerRecord & /*peer*/, Hello & /*message*/) { }
+
+void CoordinatorImpl::onMessage(PeerRecord &peer, Heartbeat &message)
+{
+    this->members.handle(peer, message);
+}
+
+void CoordinatorImpl::onMessage(PeerRecord &peer, ForwardedSubmit &message)
+{
+    const PeerReplyTarget target{peer.id, message.id};
+    this->requests.submit(Submission{target, RequestOrigin::Peer, std::move(message.team), std::move(message.key), std::move(message.job)});
+}
+
+void CoordinatorImpl::onMessage(PeerRecord &peer, ForwardedFetch &message)
+{
+    const JobQuestion::Kind kind = message.wait ? JobQuestion::Kind::Answer : JobQuestion::Kind::State;
+    const PeerReplyTarget target{peer.id, message.id};
+    this->requests.ask(JobQuestion{target, RequestOrigin::Peer, std::move(message.team), std::move(message.key), kind});
+}
+
+void CoordinatorImpl::onMessage(PeerRecord &peer, ForwardedCancel &message)
+{
+    const PeerReplyTarget target{peer.id, message.id};
+    this->requests.ask(
+        JobQuestion{target, RequestOrigin::Peer, std::move(message.team), std::move(message.key), JobQuestion::Kind::Cancel});
+}
+
+void CoordinatorImpl::onMessage(PeerRecord & /*peer*/, ForwardedReply &message)
+{
+    this->forwards.handle(std::move(message));
+}
+
+void CoordinatorImpl::onMessage(PeerRecord & /*peer*/, ConfigOffer &message)
+{
+    this->config.handle(message);
+}
+
+void CoordinatorImpl::onMessage(PeerRecord & /*peer*/, DrainNotice &message)
+{
+    this->drains.handle(message);
+}
+
+void CoordinatorImpl::onMessage(PeerRecord &peer, SlotRequest &message)
+{
+    this->slots.handle(peer, message);
+}
+
+void CoordinatorImpl::onMessage(PeerRecord &peer, SlotGrant &message)
+{
+    this->slots.handle(peer, message);
+}
+
+void CoordinatorImpl::onMessage(PeerRecord &peer, SlotReturn &message)
+{
+    this->slots.handle(peer, message);
+}
+
+void CoordinatorImpl::onMessage(PeerRecord & /*peer*/, ForwardedQuery & /*message*/) { }
+
+void CoordinatorImpl::onMessage(PeerRecord & /*peer*/, QueryRows & /*message*/) { }
+
+} // namespace
+
+Result<std::unique_ptr<Coordinator>> Coordinator::create(CoordinatorOptions options)
+{
+    if (options.identity.name.empty() || options.identity.domain.empty() || options.identity.peerAddress.empty()) {
+        return makeError(ErrorCode::BadInput, "an instance needs a name, a failure domain and an address for peers", "identity");
+    }
+    return std::unique_ptr<Coordinator>(std::make_unique<CoordinatorImpl>(std::move(options)));
+}
+
+} // namespace Tanagertally
--- a/src/controllers/coordinator.h
+++ b/src/controllers/coordinator.h
@@ -5,6 +5,7 @@
 #include "blackboard/member_type.h"
 #include "blackboard/stats_type.h"
 #include "controllers/action_type.h"
+#include "controllers/endpoint_choice.h"
 #include "controllers/event_type.h"
 #include "core/result_type.h"
 #include "core/time_type.h"
@@ -20,6 +21,7 @@
     InstanceIdentity identity; ///< Who this instance is.
     std::uint64_t seed = 1; ///< Seed of its random numbers and of the secret that signs issued keys.
     std::vector<NetAddress> peers; ///< Peers known from the settings; more are learned from the instance list.
+    AnyChoice choice; ///< Policy that chooses endpoints.
     std::optional<FleetConfig> initialConfig; ///< Proposed as version 1 if the platform holds none.
 };
 
--- /dev/null
+++ b/src/controllers/dispatch_controller.cpp
@@ -0,0 +1,404 @@
+#include "controllers/dispatch_controller.h"
+
+#include "controllers/quota_func.h"
+
+namespace Tanagertally {
+
+namespace {
+
+constexpr std::uint8_t MaxAttempts = 3; // attempts that may have reached an endpoint, per task
+constexpr std::uint8_t MaxRefusals = 100; // attempts that certainly did not start, per task
+constexpr double RetryBurst = 100; // retries
+constexpr double HedgeBurst = 20; // hedges
+constexpr double RetryRefillPerSecond = 10; // retries
+constexpr Duration RetryDelay = std::chrono::milliseconds(100);
+constexpr Duration TrustedIdleNonIdempotent = std::chrono::seconds(2);
+constexpr Duration TrustedIdleIdempotent = std::chrono::seconds(20);
+constexpr double HedgeQuantile = 0.97;
+constexpr double OverdueQuantile = 0.99;
+constexpr int OverdueFactor = 3;
+constexpr Duration ShortestOverdue = std::chrono::milliseconds(500);
+constexpr int LimitFactor = 20;
+constexpr Duration ShortestLimit = std::chrono::seconds(10);
+constexpr double SlownessSmoothing = 0.05;
+
+EndpointEvidence evidenceOf(AttemptOutcome outcome, bool abandoned)
+{
+    switch (outcome) {
+    case AttemptOutcome::Succeeded:
+    case AttemptOutcome::TaskFailed:
+        return EndpointEvidence::Succeeded;
+    case AttemptOutcome::EndpointFailed:
+        return EndpointEvidence::Failed;
+    case AttemptOutcome::RefusedBusy:
+        return EndpointEvidence::Busy;
+    case AttemptOutcome::RefusedLeaving:
+        return EndpointEvidence::SaidLeaving;
+    case AttemptOutcome::NotDelivered:
+        return abandoned ? EndpointEvidence::None : EndpointEvidence::ConnectFailed;
+    case AttemptOutcome::Lost:
+        return abandoned ? EndpointEvidence::None : EndpointEvidence::Failed;
+    }
+    return EndpointEvidence::None;
+}
+
+void countOutcome(CoordinatorStats &stats, AttemptOutcome outcome)
+{
+    switch (outcome) {
+    case AttemptOutcome::Succeeded:
+        ++stats.attemptsSucceeded;
+        break;
+    case AttemptOutcome::TaskFailed:
+    case AttemptOutcome::EndpointFailed:
+        ++stats.attemptsFailed;
+        break;
+    case AttemptOutcome::RefusedBusy:
+    case AttemptOutcome::RefusedLeaving:
+    case AttemptOutcome::NotDelivered:
+        ++stats.attemptsRefused;
+        break;
+    case AttemptOutcome::Lost:
+        ++stats.attemptsLost;
+        break;
+    }
+}
+
+} // namespace
+
+DispatchController::DispatchController(Blackboard &board, Outbox &outbox, EndpointController &endpoints, StartLease &lease,
+                                       AnyChoice choice)
+    : board(board)
+    , outbox(outbox)
+    , endpoints(endpoints)
+    , lease(lease)
+    , choice(choice)
+    , retryBudget(RetryBurst)
+    , hedgeBudget(HedgeBurst)
+{
+}
+
+void DispatchController::queueTask(JobRecord &job, std::uint32_t task, bool front)
+{
+    const KindName &kind = job.spec.tasks[task].kind;
+    const KindConfig *kindConfig = findKind(this->board.config, kind);
+    const Urgency urgency = kindConfig == nullptr ? Urgency::Normal : kindConfig->urgency;
+    const TeamConfig *teamConfig = findTeam(this->board.config, job.team);
+    const std::uint32_t weight = teamConfig == nullptr ? 1 : std::max(1U, teamConfig->weight);
+    QueuedTask queued{job.id, task, kind};
+    if (front) {
+        this->board.queue.pushFront(urgency, job.team, weight, std::move(queued));
+        return;
+    }
+    this->board.queue.pushBack(urgency, job.team, weight, std::move(queued));
+}
+
+void DispatchController::enqueue(JobRecord &job, std::uint32_t first, std::uint32_t last)
+{
+    for (std::uint32_t task = first; task < last; ++task) {
+        if (job.tasks[task].state == TaskState::Waiting) {
+            this->queueTask(job, task, false);
+        }
+    }
+}
+
+TaskQueue::Choice DispatchController::judge(const QueuedTask &next, const TeamName &team, EndpointRecord *&chosen)
+{
+    const JobRecord *job = this->board.jobs.find(next.job);
+    if (job == nullptr || job->failing || job->tasks[next.task].state != TaskState::Waiting) {
+        return TaskQueue::Choice::Drop;
+    }
+    if (job->authority == StartAuthority::DurableClaim && !this->lease.isHeld()) {
+        this->parked.push_back(next);
+        return TaskQueue::Choice::Drop;
+    }
+    const KindConfig *kind = findKind(this->board.config, next.kind);
+    const bool atLimit
+        = kind != nullptr && kind->concurrencyLimit != 0 && kindLoad(this->board, next.kind).running >= kind->concurrencyLimit;
+    if (atLimit || !hasQuotaRoom(this->board, team)) {
+        return TaskQueue::Choice::SkipLane;
+    }
+    const ChoiceLimits limits{isIdempotent(this->board, next.kind), job->tasks[next.task].lastFailedOn};
+    chosen = chooseEndpoint(this->choice, this->board.endpoints, this->board.random, limits);
+    return chosen == nullptr ? TaskQueue::Choice::SkipLane : TaskQueue::Choice::Take;
+}
+
+void DispatchController::pump()
+{
+    while (!this->board.endpoints.available().empty()) {
+        EndpointRecord *chosen = nullptr;
+        const std::optional<QueuedTask> next = this->board.queue.take(
+            [&](const QueuedTask &candidate, const TeamName &team) { return this->judge(candidate, team, chosen); });
+        if (!next) {
+            return;
+        }
+        this->start(*this->board.jobs.find(next->job), next->task, *chosen);
+    }
+}
+
+void DispatchController::start(JobRecord &job, std::uint32_t task, EndpointRecord &endpoint)
+{
+    const TaskSpec &spec = job.spec.tasks[task];
+    TaskRecord &record = job.tasks[task];
+    const bool idempotent = isIdempotent(this->board, spec.kind);
+    assert(idempotent || (record.inFlight == 0 && record.answer.verdict == Verdict::NotRun));
+    assert(task < job.startLimit);
+    const AttemptId id(++this->lastAttempt);
+    Attempt &attempt = this->attempts[id];
+    attempt = Attempt{id, job.id, task, endpoint.id, spec.kind, job.team, this->board.now, idempotent, false, false};
+    changeTaskState(this->board, job, task, TaskState::Running);
+    ++record.inFlight;
+    job.exactInFlight += idempotent ? 0 : 1;
+    ++kindLoad(this->board, spec.kind).running;
+    ++this->board.teams[job.team].running;
+    ++endpoint.inFlight;
+    ++this->board.stats.attemptsStarted;
+    ++this->board.stats.running;
+    if (record.attempts + record.refusals == 0) {
+        this->retryBudget.earn(this->board.config.policy.retryBudget);
+        this->hedgeBudget.earn(this->board.config.policy.hedgeBudget);
+    }
+    this->endpoints.refresh(endpoint);
+    const Duration maxIdle = idempotent ? TrustedIdleIdempotent : TrustedIdleNonIdempotent;
+    this->outbox.emit(StartAttempt{id, endpoint.id, job.key, task, spec.kind, spec.payload, maxIdle});
+    this->scheduleChecks(attempt, findKind(this->board.config, spec.kind));
+}
+
+void DispatchController::scheduleChecks(const Attempt &attempt, const KindConfig *kind)
+{
+    const RunTimeEstimate &runTime = kindLoad(this->board, attempt.kind).runTime;
+    if (attempt.idempotent && kind != nullptr && kind->hedged) {
+        this->checks.add(this->board.now + runTime.quantile(HedgeQuantile), Check{attempt.id, CheckKind::Hedge});
+    }
+    const Duration high = runTime.quantile(OverdueQuantile);
+    this->checks.add(this->board.now + std::max(ShortestOverdue, high * OverdueFactor), Check{attempt.id, CheckKind::Overdue});
+    this->checks.add(this->board.now + std::max(ShortestLimit, high * LimitFactor), Check{attempt.id, CheckKind::Limit});
+}
+
+void DispatchController::advance()
+{
+    while (const std::optional<Check> check = this->checks.takeDue(this->board.now)) {
+        this->runCheck(*check);
+    }
+    while (const std::optional<QueuedTask> task = this->delayed.takeDue(this->board.now)) {
+        JobRecord *job = this->board.jobs.find(task->job);
+        if (job != nullptr && !job->failing && job->tasks[task->task].state == TaskState::Waiting) {
+            this->retryLater(*job, task->task);
+        }
+    }
+}
+
+TimePoint DispatchController::nextDeadline() const
+{
+    return std::min(this->checks.next(), this->delayed.next());
+}
+
+void DispatchController::runCheck(const Check &check)
+{
+    const auto found = this->attempts.find(check.attempt);
+    if (found == this->attempts.end() || found->second.abandoned) {
+        return;
+    }
+    Attempt &attempt = found->second;
+    EndpointRecord *endpoint = this->board.endpoints.find(attempt.endpoint);
+    switch (check.kind) {
+    case CheckKind::Hedge:
+        this->hedge(attempt);
+        break;
+    case CheckKind::Overdue:
+        attempt.overdue = true;
+        if (endpoint != nullptr) {
+            this->endpoints.probe(*endpoint);
+        }
+        break;
+    case CheckKind::Limit:
+        this->abandon(attempt);
+        break;
+    }
+}
+
+void DispatchController::hedge(const Attempt &attempt)
+{
+    JobRecord *job = this->board.jobs.find(attempt.job);
+    if (job == nullptr || job->failing || job->tasks[attempt.task].state != TaskState::Running || job->tasks[attempt.task].inFlight > 1) {
+        return;
+    }
+    const bool leaseMissing = job->authority == StartAuthority::DurableClaim && !this->lease.isHeld();
+    if (leaseMissing || !this->hedgeBudget.spend()) {
+        return;
+    }
+    const ChoiceLimits limits{true, attempt.endpoint};
+    EndpointRecord *endpoint = chooseEndpoint(this->choice, this->board.endpoints, this->board.random, limits);
+    if (endpoint == nullptr || endpoint->id == attempt.endpoint) {
+        return;
+    }
+    ++this->board.stats.hedges;
+    this->start(*job, attempt.task, *endpoint);
+}
+
+void DispatchController::abandon(Attempt &attempt)
+{
+    attempt.abandoned = true;
+    this->outbox.emit(AbandonAttempt{attempt.id});
+}
+
+void DispatchController::endpointAnswered(EndpointId endpoint)
+{
+    for (auto &[id, attempt] : this->attempts) {
+        if (attempt.endpoint == endpoint && attempt.overdue && attempt.idempotent && !attempt.abandoned) {
+            this->outbox.log("connection-suspect", {{"attempt", std::to_string(id.value)}, {"kind", attempt.kind.value}});
+            this->abandon(attempt);
+        }
+    }
+}
+
+void DispatchController::release(const Attempt &attempt)
+{
+    --kindLoad(this->board, attempt.kind).running;
+    --this->board.teams[attempt.team].running;
+    --this->board.stats.running;
+    EndpointRecord *endpoint = this->board.endpoints.find(attempt.endpoint);
+    if (endpoint != nullptr) {
+        --endpoint->inFlight;
+    }
+}
+
+void DispatchController::handle(AttemptEnded ended)
+{
+    const auto found = this->attempts.find(ended.attempt);
+    if (found == this->attempts.end()) {
+        return;
+    }
+    const Attempt attempt = std::move(found->second);
+    this->attempts.erase(found);
+    this->release(attempt);
+    countOutcome(this->board.stats, ended.outcome);
+    if (ended.outcome == AttemptOutcome::Succeeded) {
+        RunTimeEstimate &runTime = kindLoad(this->board, attempt.kind).runTime;
+        const double ratio
+            = static_cast<double>(ended.roundTrip.count()) / static_cast<double>(std::max<std::int64_t>(1, runTime.mean().count()));
+        EndpointRecord *endpoint = this->board.endpoints.find(attempt.endpoint);
+        if (endpoint != nullptr) {
+            endpoint->slowness += SlownessSmoothing * (ratio - endpoint->slowness);
+        }
+        runTime.add(ended.roundTrip);
+    }
+    this->settle(attempt, ended);
+    this->endpoints.observe(attempt.endpoint, evidenceOf(ended.outcome, attempt.abandoned));
+}
+
+void DispatchController::settle(const Attempt &attempt, AttemptEnded &ended)
+{
+    JobRecord *job = this->board.jobs.find(attempt.job);
+    if (job == nullptr || job->answering) {
+        return;
+    }
+    TaskRecord &task = job->tasks[attempt.task];
+    --task.inFlight;
+    job->exactInFlight -= attempt.idempotent ? 0 : 1;
+    this->board.touchedJobs.push_back(job->id);
+    if (task.state == TaskState::Ended) {
+        return;
+    }
+    switch (ended.outcome) {
+    case AttemptOutcome::Succeeded:
+        this->succeeded(*job, attempt, ended);
+        break;
+    case AttemptOutcome::TaskFailed:
+        this->failTask(*job, attempt.task, Verdict::Ran, ErrorCode::TaskFailed, ended.error);
+        break;
+    case AttemptOutcome::RefusedBusy:
+    case AttemptOutcome::RefusedLeaving:
+    case AttemptOutcome::NotDelivered:
+        this->didNotStart(*job, attempt);
+        break;
+    case AttemptOutcome::EndpointFailed:
+    case AttemptOutcome::Lost:
+        this->failedOrLost(*job, attempt, ended);
+        break;
+    }
+}
+
+void DispatchController::succeeded(JobRecord &job, const Attempt &attempt, AttemptEnded &ended)
+{
+    endTask(this->board, job, attempt.task, TaskAnswer{Verdict::Ran, true, std::move(ended.output), {}});
+    if (job.tasks[attempt.task].inFlight > 0) {
+        this->abandonOthers(job, attempt.task);
+    }
+}
+
+void DispatchController::abandonOthers(const JobRecord &job, std::uint32_t task)
+{
+    for (auto &[id, attempt] : this->attempts) {
+        if (attempt.job == job.id && attempt.task == task && !attempt.abandoned) {
+            this->abandon(attempt);
+        }
+    }
+}
+
+void DispatchController::didNotStart(JobRecord &job, const Attempt &attempt)
+{
+    TaskRecord &task = job.tasks[attempt.task];
+    task.lastFailedOn = attempt.endpoint;
+    if (task.inFlight > 0) {
+        return;
+    }
+    if (job.failing) {
+        endTask(this->board, job, attempt.task, TaskAnswer{Verdict::NotRun, false, nullptr, "not started: the job failed"});
+        return;
+    }
+    if (++task.refusals >= MaxRefusals) {
+        this->failTask(job, attempt.task, Verdict::NotRun, ErrorCode::Unavailable, "no endpoint took the task");
+        return;
+    }
+    changeTaskState(this->board, job, attempt.task, TaskState::Waiting);
+    this->queueTask(job, attempt.task, true);
+}
+
+void DispatchController::failedOrLost(JobRecord &job, const Attempt &attempt, const AttemptEnded &ended)
+{
+    TaskRecord &task = job.tasks[attempt.task];
+    task.answer.verdict = combine(task.answer.verdict, Verdict::MayHaveRun);
+    task.lastFailedOn = attempt.endpoint;
+    ++task.attempts;
+    if (task.inFlight > 0) {
+        return;
+    }
+    if (!attempt.idempotent || job.failing || task.attempts >= MaxAttempts) {
+        const bool failed = ended.outcome == AttemptOutcome::EndpointFailed;
+        this->failTask(job, attempt.task, Verdict::MayHaveRun, failed ? ErrorCode::TaskFailed : ErrorCode::Unavailable, ended.error);
+        return;
+    }
+    changeTaskState(this->board, job, attempt.task, TaskState::Waiting);
+    this->retryLater(job, attempt.task);
+}
+
+void DispatchController::retryLater(JobRecord &job, std::uint32_t task)
+{
+    this->retryBudget.refill(this->board.now, RetryRefillPerSecond);
+    if (!this->retryBudget.spend()) {
+        this->delayed.add(this->board.now + RetryDelay, QueuedTask{job.id, task, job.spec.tasks[task].kind});
+        return;
+    }
+    ++this->board.stats.retries;
+    this->queueTask(job, task, true);
+}
+
+void DispatchController::failTask(JobRecord &job, std::uint32_t task, Verdict verdict, ErrorCode reason, const std::string &error)
+{
+    endTask(this->board, job, task, TaskAnswer{verdict, false, nullptr, error});
+    failJob(this->board, job, reason, "task " + std::to_string(task) + ": " + error);
+}
+
+void DispatchController::leaseRegained()
+{
+    std::vector<QueuedTask> waiting;
+    waiting.swap(this->parked);
+    for (const QueuedTask &task : waiting) {
+        JobRecord *job = this->board.jobs.find(task.job);
+        if (job != nullptr && !job->failing) {
+            this->queueTask(*job, task.task, false);
+        }
+    }
+}
+
+} // namespace Tanagertally
--- /dev/null
+++ b/src/controllers/durable_controller.cpp
@@ -0,0 +1,450 @@
+#include "controllers/durable_controller.h"
+
+#include "controllers/key_type.h"
+
+namespace Tanagertally {
+
+namespace {
+
+constexpr Duration WriteTimeout = std::chrono::seconds(2);
+constexpr Duration RetryInterval = std::chrono::milliseconds(500);
+constexpr Duration ComeBack = std::chrono::seconds(1);
+constexpr std::uint32_t MarkStep = 64; // tasks
+
+std::vector<TableRow> rowsIn(const CommitResult &result)
+{
+    const auto *failed = std::get_if<ConditionFailed>(&result);
+    return failed == nullptr ? std::vector<TableRow>() : failed->rows;
+}
+
+RowVersion versionOf(const std::vector<TableRow> &rows, const RowKey &key)
+{
+    for (const TableRow &row : rows) {
+        if (row.key == key) {
+            return row.version;
+        }
+    }
+    return RowVersion();
+}
+
+} // namespace
+
+DurableController::DurableController(Blackboard &board, Outbox &outbox, PlatformCalls &platform, GroupCommit &commits,
+                                     ClaimController &claims, JobController &jobs, ReplySender &replies, StartLease &lease)
+    : board(board)
+    , outbox(outbox)
+    , platform(platform)
+    , commits(commits)
+    , claims(claims)
+    , jobs(jobs)
+    , replies(replies)
+    , lease(lease)
+{
+    this->jobs.onDurableAnswer([this](JobRecord &job, std::shared_ptr<const JobAnswer> answer) {
+        Durable *durable = this->find(job.id);
+        if (durable == nullptr) {
+            return;
+        }
+        durable->answer = std::move(answer);
+        this->recordAnswer(job.id);
+    });
+}
+
+DurableController::Durable *DurableController::find(JobId job)
+{
+    const auto found = this->durables.find(job);
+    return found == this->durables.end() ? nullptr : &found->second;
+}
+
+void DurableController::accept(NewJob job, const ReplyTarget &target, ClaimController::Handler elsewhere)
+{
+    job.authority = StartAuthority::DurableClaim;
+    JobRecord &record = this->jobs.add(std::move(job));
+    Durable &durable = this->durables[record.id];
+    durable.row.team = record.team;
+    durable.row.key = record.key;
+    durable.row.holder = this->claims.self();
+    durable.row.job = jobObjectName(this->board.identity.incarnation, record.id);
+    durable.acceptWaiters.push_back(target);
+    durable.elsewhere = std::move(elsewhere);
+    this->storeJob(record.id);
+}
+
+void DurableController::storeJob(JobId job)
+{
+    const Durable &durable = this->durables.at(job);
+    ObjectPut put{durable.row.job, encodeJob(this->board.jobs.find(job)->spec)};
+    this->platform.ask(std::move(put), WriteTimeout, [this, job](const PlatformReply &reply) {
+        Durable *stored = this->find(job);
+        if (stored == nullptr) {
+            return;
+        }
+        if (std::holds_alternative<ObjectStored>(reply)) {
+            this->insert(job);
+            return;
+        }
+        const bool issued = hasIssuedForm(stored->row.key);
+        this->refuseAll(*stored, "the platform's object store can't be reached", issued ? Verdict::NotRun : Verdict::MayHaveRun);
+        this->forget(job);
+    });
+}
+
+void DurableController::insert(JobId job)
+{
+    Durable &durable = this->durables.at(job);
+    const TeamKey name{durable.row.team, durable.row.key};
+    const RowKey claimKey = claimRowKey(name);
+    const RowKey rowKey = durableRowKey(durable.row.holder.domain, name);
+    const bool idempotent = isIdempotent(this->board, this->board.jobs.find(job)->spec);
+    CommitOp op;
+    op.conditions = {RowCondition{claimKey, RowVersion()}, RowCondition{rowKey, RowVersion()}};
+    op.writes = {RowWrite{claimKey, encodeRow(ClaimRow{durable.row.holder, true, idempotent})}, RowWrite{rowKey, encodeRow(durable.row)}};
+    op.done = [this, job](const CommitResult &result) { this->inserted(job, result); };
+    this->commits.submit(std::move(op));
+}
+
+void DurableController::inserted(JobId job, const CommitResult &result)
+{
+    Durable *durable = this->find(job);
+    if (durable == nullptr) {
+        return;
+    }
+    const RowKey rowKey = durableRowKey(durable->row.holder.domain, TeamKey{durable->row.team, durable->row.key});
+    if (const auto *committed = std::get_if<Committed>(&result)) {
+        this->accepted(job, versionOf(committed->rows, rowKey));
+        return;
+    }
+    if (std::holds_alternative<ConditionFailed>(result)) {
+        this->insertSeen(job, rowsIn(result));
+        return;
+    }
+    const auto &unavailable = std::get<PlatformUnavailable>(result);
+    if (!unavailable.mayHaveTakenEffect) {
+        const bool issued = hasIssuedForm(durable->row.key);
+        this->refuseAll(*durable, unavailable.message, issued ? Verdict::NotRun : Verdict::MayHaveRun);
+        this->forget(job);
+        return;
+    }
+    this->refuseAll(*durable, "the platform did not confirm the write", Verdict::MayHaveRun);
+    this->retries.add(this->board.now, Retry{job, Step::Insert});
+}
+
+RowVersion DurableController::ownVersion(const Durable &durable, const std::vector<TableRow> &rows) const
+{
+    const RowKey rowKey = durableRowKey(durable.row.holder.domain, TeamKey{durable.row.team, durable.row.key});
+    for (const TableRow &row : rows) {
+        if (row.key != rowKey || row.version == RowVersion()) {
+            continue;
+        }
+        const Result<DurableJobRow> present = decodeRow<DurableJobRow>(row.value);
+        if (present && present.value().holder.incarnation == this->board.identity.incarnation && present.value().job == durable.row.job) {
+            return row.version;
+        }
+    }
+    return RowVersion();
+}
+
+void DurableController::insertSeen(JobId job, const std::vector<TableRow> &rows)
+{
+    Durable &durable = this->durables.at(job);
+    const RowVersion own = this->ownVersion(durable, rows);
+    if (own != RowVersion()) {
+        this->accepted(job, own);
+        return;
+    }
+    const RowKey claimKey = claimRowKey(TeamKey{durable.row.team, durable.row.key});
+    ClaimOutcome outcome = ClaimUnknown{"the key is in use"};
+    for (const TableRow &row : rows) {
+        const Result<ClaimRow> claim = decodeRow<ClaimRow>(row.value);
+        if (row.key == claimKey && row.version != RowVersion() && claim) {
+            outcome = ClaimElsewhere{claim.value(), row.version};
+        }
+    }
+    const ClaimController::Handler elsewhere = durable.elsewhere;
+    this->forget(job);
+    elsewhere(outcome);
+}
+
+void DurableController::readBack(JobId job)
+{
+    const Durable &durable = this->durables.at(job);
+    const TeamKey name{durable.row.team, durable.row.key};
+    TableRead read;
+    read.keys = {claimRowKey(name), durableRowKey(durable.row.holder.domain, name)};
+    this->platform.ask(std::move(read), WriteTimeout, [this, job](const PlatformReply &reply) {
+        const auto *rows = std::get_if<RowsRead>(&reply);
+        if (this->find(job) == nullptr) {
+            return;
+        }
+        if (rows == nullptr) {
+            this->retries.add(this->board.now + RetryInterval, Retry{job, Step::Insert});
+            return;
+        }
+        if (rows->rows.empty()) {
+            this->insert(job);
+            return;
+        }
+        this->insertSeen(job, rows->rows);
+    });
+}
+
+void DurableController::accepted(JobId job, RowVersion rowVersion)
+{
+    Durable &durable = this->durables.at(job);
+    durable.accepted = true;
+    durable.rowVersion = rowVersion;
+    this->lease.keep();
+    this->outbox.log("job-accepted", {{"key", durable.row.key.value}, {"team", durable.row.team.value}});
+    for (const ReplyTarget &target : durable.acceptWaiters) {
+        this->replies.send(target, JobAccepted{durable.row.key});
+    }
+    durable.acceptWaiters.clear();
+    JobRecord *record = this->board.jobs.find(job);
+    this->moveMark(*record, durable);
+}
+
+void DurableController::reply(JobRecord &job, SubmitMode mode, const ReplyTarget &target)
+{
+    Durable *durable = this->find(job.id);
+    if (mode == SubmitMode::Wait) {
+        this->jobs.replyWhenAnswered(job, target);
+        return;
+    }
+    if (durable == nullptr || durable->accepted) {
+        this->replies.send(target, JobAccepted{job.key});
+        return;
+    }
+    durable->acceptWaiters.push_back(target);
+}
+
+void DurableController::refuseAll(Durable &durable, const std::string &message, Verdict verdict)
+{
+    std::vector<ReplyTarget> waiters;
+    waiters.swap(durable.acceptWaiters);
+    for (const ReplyTarget &target : waiters) {
+        this->replies.refuse(target, makeError(ErrorCode::Unavailable, message), verdict, ComeBack);
+    }
+}
+
+void DurableController::forget(JobId job)
+{
+    this->durables.erase(job);
+    this->jobs.discard(job);
+}
+
+void DurableController::settle()
+{
+    for (const JobId id : this->board.touchedJobs) {
+        Durable *durable = this->find(id);
+        JobRecord *job = this->board.jobs.find(id);
+        if (job != nullptr && durable != nullptr && durable->accepted && durable->answer == nullptr) {
+            this->moveMark(*job, *durable);
+        }
+    }
+}
+
+void DurableController::moveMark(JobRecord &job, Durable &durable)
+{
+    const auto count = static_cast<std::uint32_t>(job.tasks.size());
+    const std::uint32_t begun = job.running + job.ended;
+    const bool enough = job.startLimit >= count || job.startLimit > begun + MarkStep / 2;
+    if (enough || job.failing || durable.writing) {
+        return;
+    }
+    const std::uint32_t mark = std::min(count, job.startLimit + MarkStep);
+    DurableJobRow row = durable.row;
+    row.mark = mark;
+    const RowKey rowKey = durableRowKey(row.holder.domain, TeamKey{row.team, row.key});
+    durable.writing = true;
+    CommitOp op;
+    op.conditions = {RowCondition{rowKey, durable.rowVersion}};
+    op.writes = {RowWrite{rowKey, encodeRow(row)}};
+    op.done = [this, id = job.id, mark](const CommitResult &result) { this->marked(id, mark, result); };
+    this->commits.submit(std::move(op));
+}
+
+void DurableController::marked(JobId job, std::uint32_t mark, const CommitResult &result)
+{
+    Durable *durable = this->find(job);
+    JobRecord *record = this->board.jobs.find(job);
+    if (durable == nullptr || record == nullptr) {
+        return;
+    }
+    const RowKey rowKey = durableRowKey(durable->row.holder.domain, TeamKey{durable->row.team, durable->row.key});
+    durable->writing = false;
+    if (std::holds_alternative<PlatformUnavailable>(result)) {
+        durable->writing = true;
+        this->retries.add(this->board.now + RetryInterval, Retry{job, Step::Mark});
+        return;
+    }
+    if (const auto *committed = std::get_if<Committed>(&result)) {
+        durable->rowVersion = versionOf(committed->rows, rowKey);
+    } else {
+        const RowVersion own = this->ownVersion(*durable, rowsIn(result));
+        if (own == RowVersion()) {
+            this->outbox.log("job-lost", {{"key", durable->row.key.value}});
+            this->forget(job);
+            return;
+        }
+        durable->rowVersion = own;
+        if (durable->answer != nullptr) {
+            this->recordAnswer(job);
+            return;
+        }
+        this->moveMark(*record, *durable);
+        return;
+    }
+    durable->row.mark = mark;
+    if (durable->answer != nullptr) {
+        this->recordAnswer(job);
+        return;
+    }
+    if (!record->failing) {
+        this->jobs.start(*record, mark);
+    }
+}
+
+void DurableController::recordAnswer(JobId job)
+{
+    Durable *durable = this->find(job);
+    if (durable == nullptr || durable->answer == nullptr || durable->writing) {
+        return;
+    }
+    if (!durable->accepted) {
+        this->jobs.publish(*this->board.jobs.find(job), durable->answer);
+        this->durables.erase(job);
+        return;
+    }
+    durable->writing = true;
+    if (durable->answerStored) {
+        this->writeAnsweredRow(job);
+        return;
+    }
+    durable->row.answer = answerObjectName(this->board.identity.incarnation, job);
+    ObjectPut put{durable->row.answer, encodeAnswer(*durable->answer)};
+    this->platform.ask(std::move(put), WriteTimeout, [this, job](const PlatformReply &reply) {
+        Durable *stored = this->find(job);
+        if (stored == nullptr) {
+            return;
+        }
+        if (!std::holds_alternative<ObjectStored>(reply)) {
+            this->retries.add(this->board.now + RetryInterval, Retry{job, Step::Answer});
+            return;
+        }
+        stored->answerStored = true;
+        this->writeAnsweredRow(job);
+    });
+}
+
+void DurableController::writeAnsweredRow(JobId job)
+{
+    Durable &durable = this->durables.at(job);
+    durable.row.state = DurableState::Answered;
+    const RowKey rowKey = durableRowKey(durable.row.holder.domain, TeamKey{durable.row.team, durable.row.key});
+    CommitOp op;
+    op.conditions = {RowCondition{rowKey, durable.rowVersion}};
+    op.writes = {RowWrite{rowKey, encodeRow(durable.row)}};
+    op.done = [this, job](const CommitResult &result) { this->answered(job, result); };
+    this->commits.submit(std::move(op));
+}
+
+void DurableController::answered(JobId job, const CommitResult &result)
+{
+    Durable *durable = this->find(job);
+    if (durable == nullptr) {
+        return;
+    }
+    if (std::holds_alternative<PlatformUnavailable>(result)) {
+        this->retries.add(this->board.now + RetryInterval, Retry{job, Step::Answer});
+        return;
+    }
+    if (std::holds_alternative<ConditionFailed>(result)) {
+        const std::vector<TableRow> rows = rowsIn(result);
+        const RowVersion own = this->ownVersion(*durable, rows);
+        if (own == RowVersion()) {
+            this->outbox.log("job-lost", {{"key", durable->row.key.value}});
+            this->forget(job);
+            return;
+        }
+        durable->rowVersion = own;
+        this->retries.add(this->board.now, Retry{job, Step::Answer});
+        return;
+    }
+    const std::shared_ptr<const JobAnswer> answer = durable->answer;
+    this->durables.erase(job);
+    this->jobs.publish(*this->board.jobs.find(job), answer);
+}
+
+void DurableController::adopt(AdoptedJob adopted)
+{
+    const TeamKey name{adopted.row.team, adopted.row.key};
+    JobRecord &record = this->jobs.add(NewJob{adopted.row.key, adopted.row.team, adopted.spec, StartAuthority::DurableClaim});
+    const JobId id = record.id;
+    Durable &durable = this->durables[id];
+    durable.row = adopted.row;
+    durable.row.holder = this->claims.self();
+    durable.writing = true;
+    const RowKey rowKey = durableRowKey(durable.row.holder.domain, name);
+    const RowKey claimKey = claimRowKey(name);
+    const bool idempotent = isIdempotent(this->board, record.spec);
+    CommitOp op;
+    op.conditions = {RowCondition{claimKey, adopted.claimVersion}, RowCondition{rowKey, adopted.rowVersion}};
+    op.writes = {RowWrite{claimKey, encodeRow(ClaimRow{durable.row.holder, true, idempotent})}, RowWrite{rowKey, encodeRow(durable.row)}};
+    op.done = [this, id, rowKey](const CommitResult &result) {
+        const auto *committed = std::get_if<Committed>(&result);
+        JobRecord *job = this->board.jobs.find(id);
+        if (committed == nullptr || job == nullptr) {
+            this->forget(id);
+            return;
+        }
+        Durable &taken = this->durables.at(id);
+        taken.writing = false;
+        const std::uint32_t mark = std::min(taken.row.mark, static_cast<std::uint32_t>(job->tasks.size()));
+        this->outbox.log("job-adopted", {{"key", job->key.value}, {"mark", std::to_string(mark)}});
+        for (std::uint32_t task = 0; task < mark; ++task) {
+            if (!isIdempotent(this->board, job->spec.tasks[task].kind)) {
+                endTask(this->board, *job, task,
+                        TaskAnswer{Verdict::MayHaveRun, false, nullptr, "its instance died after it may have started"});
+                continue;
+            }
+            job->tasks[task].answer.verdict = Verdict::MayHaveRun;
+        }
+        this->jobs.start(*job, mark);
+        this->accepted(id, versionOf(committed->rows, rowKey));
+    };
+    this->commits.submit(std::move(op));
+}
+
+void DurableController::advance()
+{
+    while (const std::optional<Retry> retry = this->retries.takeDue(this->board.now)) {
+        Durable *durable = this->find(retry->job);
+        if (durable == nullptr) {
+            continue;
+        }
+        switch (retry->step) {
+        case Step::Insert:
+            this->readBack(retry->job);
+            break;
+        case Step::Mark:
+            durable->writing = false;
+            if (durable->answer != nullptr) {
+                this->recordAnswer(retry->job);
+            } else {
+                this->moveMark(*this->board.jobs.find(retry->job), *durable);
+            }
+            break;
+        case Step::Answer:
+            durable->writing = false;
+            this->recordAnswer(retry->job);
+            break;
+        }
+    }
+}
+
+TimePoint DurableController::nextDeadline() const
+{
+    return this->retries.next();
+}
+
+} // namespace Tanagertally
--- /dev/null
+++ b/src/controllers/forward_controller.cpp
@@ -0,0 +1,118 @@
+#include "controllers/forward_controller.h"
+
+namespace Tanagertally {
+
+namespace {
+
+constexpr Duration LinkTimeout = std::chrono::milliseconds(500);
+constexpr Duration UnreachableRetry = std::chrono::seconds(1);
+
+} // namespace
+
+ForwardController::ForwardController(Blackboard &board, Outbox &outbox, ReplySender &replies)
+    : board(board)
+    , outbox(outbox)
+    , replies(replies)
+{
+}
+
+void ForwardController::add(const HomeAddress &home, const ReplyTarget &target, ForwardId id, PeerMessage message, Duration within)
+{
+    ++this->board.stats.forwards;
+    Forward &forward = this->forwards[id];
+    forward = Forward{target, home, PeerId(), std::move(message)};
+    this->replyDeadlines.add(this->board.now + within, id);
+    const PeerRecord *peer = this->board.peers.find(home.address);
+    if (peer != nullptr) {
+        this->send(id, forward, *peer);
+        return;
+    }
+    this->linkDeadlines.add(this->board.now + LinkTimeout, id);
+    this->outbox.emit(OpenPeer{home.address, false});
+}
+
+void ForwardController::send(ForwardId id, Forward &forward, const PeerRecord &peer)
+{
+    if (peer.identity.incarnation != forward.home.incarnation) {
+        this->giveUp(id, ErrorCode::HomeLost, "the instance that held this key is gone", std::nullopt);
+        return;
+    }
+    forward.peer = peer.id;
+    this->outbox.emit(SendToPeer{peer.id, std::move(forward.message)});
+}
+
+void ForwardController::giveUp(ForwardId id, ErrorCode code, std::string message, std::optional<Duration> retryAfter)
+{
+    const auto found = this->forwards.find(id);
+    if (found == this->forwards.end()) {
+        return;
+    }
+    const ReplyTarget target = found->second.target;
+    this->forwards.erase(found);
+    this->replies.refuse(target, makeError(code, std::move(message), "key"), Verdict::MayHaveRun, retryAfter);
+}
+
+void ForwardController::handle(ForwardedReply reply)
+{
+    const auto found = this->forwards.find(reply.id);
+    if (found == this->forwards.end()) {
+        return;
+    }
+    const ReplyTarget target = found->second.target;
+    this->forwards.erase(found);
+    this->replies.send(target, std::move(reply.reply));
+}
+
+std::vector<ForwardId> ForwardController::select(const std::function<bool(const Forward &)> &matches) const
+{
+    std::vector<ForwardId> selected;
+    for (const auto &[id, forward] : this->forwards) {
+        if (matches(forward)) {
+            selected.push_back(id);
+        }
+    }
+    std::sort(selected.begin(), selected.end());
+    return selected;
+}
+
+void ForwardController::peerUp(const PeerRecord &peer)
+{
+    const NetAddress &address = peer.identity.peerAddress;
+    for (const ForwardId id : this->select([&](const Forward &one) { return one.peer == PeerId() && one.home.address == address; })) {
+        this->send(id, this->forwards.at(id), peer);
+    }
+}
+
+void ForwardController::peerDown(PeerId peer)
+{
+    for (const ForwardId id : this->select([&](const Forward &one) { return one.peer == peer; })) {
+        this->giveUp(id, ErrorCode::HomeUnreachable, "the link to the instance that holds this key broke", UnreachableRetry);
+    }
+}
+
+void ForwardController::peerUnreachable(const NetAddress &address)
+{
+    for (const ForwardId id : this->select([&](const Forward &one) { return one.peer == PeerId() && one.home.address == address; })) {
+        this->giveUp(id, ErrorCode::HomeUnreachable, "the instance that holds this key can't be reached", UnreachableRetry);
+    }
+}
+
+void ForwardController::advance()
+{
+    while (const std::optional<ForwardId> id = this->linkDeadlines.takeDue(this->board.now)) {
+        const auto found = this->forwards.find(*id);
+        if (found != this->forwards.end() && found->second.peer == PeerId()) {
+            this->giveUp(*id, ErrorCode::HomeUnreachable, "the instance that holds this key can't be reached", UnreachableRetry);
+        }
+    }
+    while (const std::optional<ForwardId> id = this->replyDeadlines.takeDue(this->board.now)) {
+        this->giveUp(*id, ErrorCode::DeadlineExceeded, "no answer came in time from the instance that holds this key", UnreachableRetry);
+    }
+}
+
+TimePoint ForwardController::nextDeadline() const
+{
+    return std::min(this->linkDeadlines.next(), this->replyDeadlines.next());
+}
+
+} // namespace Tanagertally
--- a/src/controllers/group_commit.cpp
+++ b/src/controllers/group_commit.cpp
@@ -118,7 +118,8 @@
 {
     std::vector<CommitOp> tried;
     tried.swap(this->group);
-    const bool fencedNow = std::any_of(failed.rows.begin(), failed.rows.end(), [this](const TableRow &row) { return this->isFenceRow(row); });
+    const bool fencedNow
+        = std::any_of(failed.rows.begin(), failed.rows.end(), [this](const TableRow &row) { return this->isFenceRow(row); });
     if (fencedNow && !this->fenced) {
         this->fenced = true;
         this->fencedHandler();
--- a/src/controllers/key.cpp
+++ b/src/controllers/key.cpp
@@ -81,7 +81,8 @@
     if (fits && std::all_of(key.value.begin(), key.value.end(), isAllowed)) {
         return std::nullopt;
     }
-    return makeError(ErrorCode::BadInput, "a key has 1 to 128 printable ASCII characters other than space, slash, quote and backslash", "key");
+    return makeError(ErrorCode::BadInput, "a key has 1 to 128 printable ASCII characters other than space, slash, quote and backslash",
+                     "key");
 }
 
 } // namespace Tanagertally
--- /dev/null
+++ b/src/controllers/start_lease.cpp
@@ -0,0 +1,79 @@
+#include "controllers/start_lease.h"
+
+#include "controllers/group_commit.h"
+
+namespace Tanagertally {
+
+namespace {
+
+constexpr Duration RenewalInterval = std::chrono::milliseconds(400);
+constexpr Duration RenewalTimeout = std::chrono::milliseconds(1000);
+
+} // namespace
+
+StartLease::StartLease(Blackboard &board, PlatformCalls &platform)
+    : board(board)
+    , platform(platform)
+{
+}
+
+void StartLease::onRegained(std::function<void()> handler)
+{
+    this->regained = std::move(handler);
+}
+
+void StartLease::keep()
+{
+    if (this->kept) {
+        return;
+    }
+    this->kept = true;
+    this->renew();
+}
+
+bool StartLease::isHeld() const
+{
+    return !this->fenced && this->board.now < this->validUntil;
+}
+
+void StartLease::advance()
+{
+    if (this->kept && !this->asked && this->board.now >= this->nextRenewal) {
+        this->renew();
+    }
+}
+
+TimePoint StartLease::nextDeadline() const
+{
+    return this->kept && !this->asked ? this->nextRenewal : TimePoint::max();
+}
+
+void StartLease::renew()
+{
+    this->asked = true;
+    this->nextRenewal = this->board.now + RenewalInterval;
+    TableRead read;
+    read.keys.push_back(fenceRowKey(this->board.identity.incarnation));
+    const TimePoint sentAt = this->board.now;
+    this->platform.ask(std::move(read), RenewalTimeout, [this, sentAt](const PlatformReply &reply) { this->finish(sentAt, reply); });
+}
+
+void StartLease::finish(TimePoint sentAt, const PlatformReply &reply)
+{
+    this->asked = false;
+    const auto *rows = std::get_if<RowsRead>(&reply);
+    if (rows == nullptr) {
+        return;
+    }
+    if (!rows->rows.empty()) {
+        this->fenced = true;
+        return;
+    }
+    const bool lapsed = !this->isHeld();
+    this->validUntil = sentAt + StartLeaseLength;
+    if (lapsed && this->isHeld()) {
+        this->regained();
+    }
+}
+
+} // namespace Tanagertally
