--- /dev/null
+++ b/src/caller/http_handler.h
@@ -0,0 +1,26 @@
+/** The handler concept: what a service gives the HTTP server. */
+#pragma once
+
+#include "caller/http_type.h"
+
+#include <concepts>
+
+namespace Tanagertally {
+
+/**
+ * Makes replies or events of requests. Its methods are called from any traffic thread, several at once, and must not block.
+ * - `handle` gets a whole request and the RequestId under which a later reply will be handed over.
+ * - `refuse` words a refusal that the server makes by itself.
+ */
+template<typename T>
+concept HttpHandler = requires(T &handler, HttpRequest request, RequestId id, HttpRefusal refusal)
+{
+    {
+        handler.handle(std::move(request), id)
+        } -> std::same_as<HttpOutcome>;
+    {
+        handler.refuse(refusal)
+        } -> std::same_as<HttpReply>;
+};
+
+} // namespace Tanagertally
