--- /dev/null
+++ b/src/peer/peer_fields.h
@@ -0,0 +1,333 @@
+/**
+ * The fields of every peer message and of the types inside them, in the order in which they are written.
+ *
+ * describe(fields, value) calls fields(name, member) for each member; vectors come with their Bounds, and members that may
+ * not be null with Presence::Required. The structured bindings make a new member a compile error here until it is listed.
+ * New members are appended at the end, as the compatibility rule in docs/PEERS.md asks.
+ */
+#pragma once
+
+#include "controllers/peer_message_type.h"
+
+#include <concepts>
+#include <cstddef>
+#include <type_traits>
+
+namespace Tanagertally::PeerFields {
+
+/** How many elements an array may have. */
+struct Bounds {
+    std::size_t least = 0; ///< Smallest number.
+    std::size_t most = 0; ///< Largest number.
+};
+
+/** Whether a payload may be null. */
+enum class Presence : std::uint8_t {
+    Required, ///< Never null.
+    Optional, ///< May be null.
+};
+
+constexpr Bounds TaskBounds = {1, 1'000};
+constexpr Bounds AnswerBounds = {0, 1'000};
+constexpr Bounds KeyBounds = {0, 10'000};
+constexpr Bounds TeamBounds = {0, 10'000};
+constexpr Bounds KindBounds = {0, 10'000};
+constexpr Bounds DomainBounds = {0, 1'000};
+constexpr Bounds EndpointBounds = {0, 10'000};
+
+/** The last enumerator of an enumeration; those before it are numbered without gaps. */
+template<typename Enumeration>
+inline constexpr Enumeration Last = Enumeration{};
+template<>
+inline constexpr Idempotence Last<Idempotence> = Idempotence::Idempotent;
+template<>
+inline constexpr Urgency Last<Urgency> = Urgency::Bulk;
+template<>
+inline constexpr SubmitMode Last<SubmitMode> = SubmitMode::Later;
+template<>
+inline constexpr JobOutcome Last<JobOutcome> = JobOutcome::Failed;
+template<>
+inline constexpr JobState Last<JobState> = JobState::Closed;
+template<>
+inline constexpr Verdict Last<Verdict> = Verdict::Ran;
+template<>
+inline constexpr ErrorCode Last<ErrorCode> = ErrorCode::Internal;
+
+/** M is T or const T. */
+template<typename M, typename T>
+concept Like = std::same_as<std::remove_const_t<M>, T>;
+
+template<typename Fields, Like<InstanceIdentity> M>
+void describe(Fields &fields, M &value)
+{
+    auto &[name, domain, peerAddress, incarnation] = value;
+    fields("name", name);
+    fields("domain", domain);
+    fields("peerAddress", peerAddress);
+    fields("incarnation", incarnation);
+}
+
+template<typename Fields, Like<Hello> M>
+void describe(Fields &fields, M &value)
+{
+    auto &[protocol, identity] = value;
+    fields("protocol", protocol);
+    fields("identity", identity);
+}
+
+template<typename Fields, Like<TeamUsage> M>
+void describe(Fields &fields, M &value)
+{
+    auto &[team, running] = value;
+    fields("team", team);
+    fields("running", running);
+}
+
+template<typename Fields, Like<std::pair<FailureDomain, ConfigVersion>> M>
+void describe(Fields &fields, M &value)
+{
+    auto &[domain, version] = value;
+    fields("domain", domain);
+    fields("version", version);
+}
+
+template<typename Fields, Like<Heartbeat> M>
+void describe(Fields &fields, M &value)
+{
+    auto &[stopping, configInForce, queued, freeSlots, usage, domainConfig] = value;
+    fields("stopping", stopping);
+    fields("configInForce", configInForce);
+    fields("queued", queued);
+    fields("freeSlots", freeSlots);
+    fields("usage", usage, TeamBounds);
+    fields("domainConfig", domainConfig, DomainBounds);
+}
+
+template<typename Fields, Like<TaskSpec> M>
+void describe(Fields &fields, M &value)
+{
+    auto &[kind, payload, declaredRunTime] = value;
+    fields("kind", kind);
+    fields("payload", payload, Presence::Required);
+    fields("declaredRunTime", declaredRunTime);
+}
+
+template<typename Fields, Like<JobSpec> M>
+void describe(Fields &fields, M &value)
+{
+    auto &[tasks, timeout, mode] = value;
+    fields("tasks", tasks, TaskBounds);
+    fields("timeout", timeout);
+    fields("mode", mode);
+}
+
+template<typename Fields, Like<ForwardedSubmit> M>
+void describe(Fields &fields, M &value)
+{
+    auto &[id, team, key, job] = value;
+    fields("id", id);
+    fields("team", team);
+    fields("key", key);
+    fields("job", job);
+}
+
+template<typename Fields, Like<ForwardedFetch> M>
+void describe(Fields &fields, M &value)
+{
+    auto &[id, team, key, wait] = value;
+    fields("id", id);
+    fields("team", team);
+    fields("key", key);
+    fields("wait", wait);
+}
+
+template<typename Fields, Like<ForwardedCancel> M>
+void describe(Fields &fields, M &value)
+{
+    auto &[id, team, key] = value;
+    fields("id", id);
+    fields("team", team);
+    fields("key", key);
+}
+
+template<typename Fields, Like<KeysIssued> M>
+void describe(Fields &fields, M &value)
+{
+    auto &[keys, validFor] = value;
+    fields("keys", keys, KeyBounds);
+    fields("validFor", validFor);
+}
+
+template<typename Fields, Like<JobAccepted> M>
+void describe(Fields &fields, M &value)
+{
+    auto &[key] = value;
+    fields("key", key);
+}
+
+template<typename Fields, Like<JobStatus> M>
+void describe(Fields &fields, M &value)
+{
+    auto &[key, state, tasks, started, finished] = value;
+    fields("key", key);
+    fields("state", state);
+    fields("tasks", tasks);
+    fields("started", started);
+    fields("finished", finished);
+}
+
+template<typename Fields, Like<TaskAnswer> M>
+void describe(Fields &fields, M &value)
+{
+    auto &[verdict, succeeded, output, error] = value;
+    fields("verdict", verdict);
+    fields("succeeded", succeeded);
+    fields("output", output, Presence::Optional);
+    fields("error", error);
+}
+
+template<typename Fields, Like<JobAnswer> M>
+void describe(Fields &fields, M &value)
+{
+    auto &[key, outcome, reason, message, tasks] = value;
+    fields("key", key);
+    fields("outcome", outcome);
+    fields("reason", reason);
+    fields("message", message);
+    fields("tasks", tasks, AnswerBounds);
+}
+
+template<typename Fields, Like<Error> M>
+void describe(Fields &fields, M &value)
+{
+    auto &[code, message, field] = value;
+    fields("code", code);
+    fields("message", message);
+    fields("field", field);
+}
+
+template<typename Fields, Like<Refusal> M>
+void describe(Fields &fields, M &value)
+{
+    auto &[error, verdict, retryAfter] = value;
+    fields("error", error);
+    fields("verdict", verdict);
+    fields("retryAfter", retryAfter);
+}
+
+template<typename Fields, Like<ForwardedReply> M>
+void describe(Fields &fields, M &value)
+{
+    auto &[id, reply] = value;
+    fields("id", id);
+    fields("reply", reply);
+}
+
+template<typename Fields, Like<KindConfig> M>
+void describe(Fields &fields, M &value)
+{
+    auto &[name, idempotence, urgency, expectedRunTime, concurrencyLimit, hedged] = value;
+    fields("name", name);
+    fields("idempotence", idempotence);
+    fields("urgency", urgency);
+    fields("expectedRunTime", expectedRunTime);
+    fields("concurrencyLimit", concurrencyLimit);
+    fields("hedged", hedged);
+}
+
+template<typename Fields, Like<TeamConfig> M>
+void describe(Fields &fields, M &value)
+{
+    auto &[name, quota, weight] = value;
+    fields("name", name);
+    fields("quota", quota);
+    fields("weight", weight);
+}
+
+template<typename Fields, Like<PolicyConfig> M>
+void describe(Fields &fields, M &value)
+{
+    auto &[responseTimeWeight, wastedMessageWeight, retryBudget, hedgeBudget, maxQueueWait, ejectedShare] = value;
+    fields("responseTimeWeight", responseTimeWeight);
+    fields("wastedMessageWeight", wastedMessageWeight);
+    fields("retryBudget", retryBudget);
+    fields("hedgeBudget", hedgeBudget);
+    fields("maxQueueWait", maxQueueWait);
+    fields("ejectedShare", ejectedShare);
+}
+
+template<typename Fields, Like<FleetConfig> M>
+void describe(Fields &fields, M &value)
+{
+    auto &[version, kinds, teams, policy] = value;
+    fields("version", version);
+    fields("kinds", kinds, KindBounds);
+    fields("teams", teams, TeamBounds);
+    fields("policy", policy);
+}
+
+template<typename Fields, Like<ConfigOffer> M>
+void describe(Fields &fields, M &value)
+{
+    auto &[config] = value;
+    fields("config", config);
+}
+
+template<typename Fields, Like<DrainNotice> M>
+void describe(Fields &fields, M &value)
+{
+    auto &[worker, draining, sequence] = value;
+    fields("worker", worker);
+    fields("draining", draining);
+    fields("sequence", sequence);
+}
+
+template<typename Fields, Like<SlotRequest> M>
+void describe(Fields &fields, M &value)
+{
+    auto &[slots] = value;
+    fields("slots", slots);
+}
+
+template<typename Fields, Like<SlotCount> M>
+void describe(Fields &fields, M &value)
+{
+    auto &[worker, slots] = value;
+    fields("worker", worker);
+    fields("slots", slots);
+}
+
+template<typename Fields, Like<SlotGrant> M>
+void describe(Fields &fields, M &value)
+{
+    auto &[lease, validFor, slots] = value;
+    fields("lease", lease);
+    fields("validFor", validFor);
+    fields("slots", slots, EndpointBounds);
+}
+
+template<typename Fields, Like<SlotReturn> M>
+void describe(Fields &fields, M &value)
+{
+    auto &[lease, slots] = value;
+    fields("lease", lease);
+    fields("slots", slots, EndpointBounds);
+}
+
+template<typename Fields, Like<ForwardedQuery> M>
+void describe(Fields &fields, M &value)
+{
+    auto &[id, text] = value;
+    fields("id", id);
+    fields("text", text);
+}
+
+template<typename Fields, Like<QueryRows> M>
+void describe(Fields &fields, M &value)
+{
+    auto &[id, json] = value;
+    fields("id", id);
+    fields("json", json);
+}
+
+} // namespace Tanagertally::PeerFields
--- /dev/null
+++ b/src/peer/peer_handshake.cpp
@@ -0,0 +1,274 @@
+#include "peer/peer_handshake.h"
+
+#include "peer/cbor_document.h"
+#include "peer/peer_codec.h"
+
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+#include <openssl/rand.h>
+
+#include <optional>
+#include <utility>
+
+namespace Tanagertally {
+
+namespace {
+
+using Json = nlohmann::json;
+namespace Msm = boost::msm::front;
+
+constexpr std::string_view Magic = "tanagertally";
+constexpr std::string_view ProofContext = "tanagertally-peer-proof";
+constexpr std::size_t NonceBytes = 32;
+constexpr std::size_t GreetingFields = 4;
+
+using Bytes = std::vector<std::uint8_t>;
+
+/** HMAC-SHA256 of a text. */
+Bytes hmac(std::string_view key, const std::string &text)
+{
+    Bytes digest(EVP_MAX_MD_SIZE);
+    unsigned length = 0;
+    HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()), asBytes(text).data(), text.size(), digest.data(), &length);
+    digest.resize(length);
+    return digest;
+}
+
+/** Append a text after its length, so that no two lists of texts give the same bytes. */
+void appendSized(std::string &text, const std::string &part)
+{
+    constexpr std::size_t LengthBytes = 4;
+    for (std::size_t index = 0; index < LengthBytes; ++index) {
+        text += static_cast<char>((part.size() >> (8 * index)) & 0xffU);
+    }
+    text += part;
+}
+
+/** A greeting as it was read. */
+struct Greeting {
+    std::uint64_t protocol = 0; ///< Protocol version of the sender.
+    Bytes nonce; ///< Its random bytes.
+    InstanceIdentity identity; ///< Who it says it is.
+};
+
+/** Read a greeting; a greeting of another version is read only as far as its version. */
+std::optional<Greeting> readGreeting(const Json &array)
+{
+    if (array.size() < GreetingFields || array[0] != Magic || !array[1].is_number_unsigned()) {
+        return std::nullopt;
+    }
+    Greeting greeting;
+    greeting.protocol = array[1].get<std::uint64_t>();
+    if (greeting.protocol != PeerProtocolVersion) {
+        return greeting;
+    }
+    if (!array[2].is_binary() || !array[3].is_binary()) {
+        return std::nullopt;
+    }
+    greeting.nonce = array[2].get_binary();
+    const auto message = decodePeerMessage(array[3].get_binary());
+    if (message.has_error() || greeting.nonce.size() != NonceBytes) {
+        return std::nullopt;
+    }
+    const auto *hello = std::get_if<Hello>(&message.value());
+    if (hello == nullptr || hello->identity.name.empty()) {
+        return std::nullopt;
+    }
+    greeting.identity = hello->identity;
+    return greeting;
+}
+
+// Events of the state machine.
+struct GreetingReceived {
+    Greeting greeting; ///< The greeting.
+    std::string bytes; ///< The message it was read from.
+};
+struct ProofReceived {
+    Bytes proof; ///< The HMAC.
+};
+
+/** Life cycle of a handshake; its transition table is below. */
+struct HandshakeMachine_ : Msm::state_machine_def<HandshakeMachine_> {
+    struct AwaitingGreeting : Msm::state<> {
+    };
+    struct AwaitingProof : Msm::state<> {
+    };
+    struct Authenticated : Msm::state<> {
+    };
+    struct Refused : Msm::state<> {
+    };
+    using initial_state = AwaitingGreeting; // NOLINT(readability-identifier-naming)
+
+    InstanceIdentity own; ///< Who this instance is.
+    std::string sharedKey; ///< The secret.
+    ConnectionSide side = ConnectionSide::Connector; ///< Whether this side opened the connection.
+    std::string ownGreeting; ///< What this side sends first.
+    std::string peerGreeting; ///< What the other side sent first.
+    InstanceIdentity peer; ///< Who the other side says it is.
+    HandshakeStep step = HandshakeRefusal::Malformed; ///< What follows from the last event.
+
+    /** The bytes that `prover` has to send as its proof. */
+    Bytes proofOf(ConnectionSide prover) const
+    {
+        const bool isConnector = this->side == ConnectionSide::Connector;
+        std::string text(ProofContext);
+        text += prover == ConnectionSide::Connector ? 'c' : 'a';
+        appendSized(text, isConnector ? this->ownGreeting : this->peerGreeting);
+        appendSized(text, isConnector ? this->peerGreeting : this->ownGreeting);
+        return hmac(this->sharedKey, text);
+    }
+
+    ConnectionSide peerSide() const
+    {
+        return this->side == ConnectionSide::Connector ? ConnectionSide::Acceptor : ConnectionSide::Connector;
+    }
+
+    // Guards.
+    struct HasOtherVersion {
+        template<typename Event, typename Machine, typename From, typename To>
+        bool operator()(const Event &event, Machine & /*machine*/, From & /*from*/, To & /*to*/) const
+        {
+            return event.greeting.protocol != PeerProtocolVersion;
+        }
+    };
+    struct IsOwnProcess {
+        template<typename Event, typename Machine, typename From, typename To>
+        bool operator()(const Event &event, Machine &machine, From & /*from*/, To & /*to*/) const
+        {
+            const InstanceIdentity &identity = event.greeting.identity;
+            return identity.name == machine.own.name && identity.incarnation == machine.own.incarnation;
+        }
+    };
+    struct IsProofValid {
+        template<typename Event, typename Machine, typename From, typename To>
+        bool operator()(const Event &event, Machine &machine, From & /*from*/, To & /*to*/) const
+        {
+            const Bytes expected = machine.proofOf(machine.peerSide());
+            return event.proof.size() == expected.size() && CRYPTO_memcmp(event.proof.data(), expected.data(), expected.size()) == 0;
+        }
+    };
+
+    // Actions.
+    struct AnswerGreeting {
+        template<typename Event, typename Machine, typename From, typename To>
+        void operator()(const Event &event, Machine &machine, From & /*from*/, To & /*to*/) const
+        {
+            machine.peer = event.greeting.identity;
+            machine.peerGreeting = event.bytes;
+            machine.step = SendProof{writeCbor(Json::array({Json::binary(machine.proofOf(machine.side))}))};
+        }
+    };
+    struct Finish {
+        template<typename Event, typename Machine, typename From, typename To>
+        void operator()(const Event & /*event*/, Machine &machine, From & /*from*/, To & /*to*/) const
+        {
+            machine.step = HandshakeDone{};
+        }
+    };
+    template<HandshakeRefusal Reason>
+    struct Refuse {
+        template<typename Event, typename Machine, typename From, typename To>
+        void operator()(const Event & /*event*/, Machine &machine, From & /*from*/, To & /*to*/) const
+        {
+            machine.step = Reason;
+        }
+    };
+
+    // Of several rows for one state and event, the lowest whose guard holds is taken.
+    // clang-format off
+    using transition_table = boost::mpl::vector< // NOLINT(readability-identifier-naming)
+        //       from              event             to             action                                  guard
+        Msm::Row<AwaitingGreeting, GreetingReceived, AwaitingProof, AnswerGreeting,                         Msm::none>,
+        Msm::Row<AwaitingGreeting, GreetingReceived, Refused,       Refuse<HandshakeRefusal::OwnProcess>,   IsOwnProcess>,
+        Msm::Row<AwaitingGreeting, GreetingReceived, Refused,       Refuse<HandshakeRefusal::WrongVersion>, HasOtherVersion>,
+        Msm::Row<AwaitingGreeting, ProofReceived,    Refused,       Refuse<HandshakeRefusal::Malformed>,    Msm::none>,
+        Msm::Row<AwaitingProof,    GreetingReceived, Refused,       Refuse<HandshakeRefusal::Malformed>,    Msm::none>,
+        Msm::Row<AwaitingProof,    ProofReceived,    Refused,       Refuse<HandshakeRefusal::WrongKey>,     Msm::none>,
+        Msm::Row<AwaitingProof,    ProofReceived,    Authenticated, Finish,                                 IsProofValid>
+    >;
+    // clang-format on
+
+    template<typename Event, typename Machine>
+    void no_transition(const Event & /*event*/, Machine &machine, int /*state*/)
+    {
+        machine.step = HandshakeRefusal::Malformed;
+    }
+};
+
+using HandshakeMachine = boost::msm::back::state_machine<HandshakeMachine_>;
+
+/** Make the message that a side sends first. */
+Result<std::string> makeGreeting(const InstanceIdentity &own)
+{
+    Bytes nonce(NonceBytes);
+    if (RAND_bytes(nonce.data(), static_cast<int>(nonce.size())) != 1) {
+        return makeError(ErrorCode::Internal, "no random numbers for the peer handshake");
+    }
+    const std::string hello = encodePeerMessage(Hello{PeerProtocolVersion, own});
+    const auto helloBytes = asBytes(hello);
+    return writeCbor(Json::array(
+        {Magic, PeerProtocolVersion, Json::binary(std::move(nonce)), Json::binary(Bytes(helloBytes.begin(), helloBytes.end()))}));
+}
+
+} // namespace
+
+struct PeerHandshake::Impl {
+    HandshakeMachine machine; ///< The state machine.
+};
+
+PeerHandshake::PeerHandshake(std::unique_ptr<Impl> parts)
+    : impl(std::move(parts))
+{
+}
+
+PeerHandshake::~PeerHandshake() = default;
+
+Result<std::unique_ptr<PeerHandshake>> PeerHandshake::create(const InstanceIdentity &own, std::string_view sharedKey, ConnectionSide side)
+{
+    auto greeting = makeGreeting(own);
+    if (greeting.has_error()) {
+        return std::move(greeting.error());
+    }
+    auto parts = std::make_unique<Impl>();
+    parts->machine.own = own;
+    parts->machine.sharedKey = sharedKey;
+    parts->machine.side = side;
+    parts->machine.ownGreeting = std::move(greeting.value());
+    parts->machine.start();
+    return std::unique_ptr<PeerHandshake>(new PeerHandshake(std::move(parts)));
+}
+
+const std::string &PeerHandshake::greeting() const
+{
+    return this->impl->machine.ownGreeting;
+}
+
+HandshakeStep PeerHandshake::receive(const std::string &bytes)
+{
+    const auto document = readCborArray(asBytes(bytes));
+    if (document.has_error() || document.value().empty()) {
+        return HandshakeRefusal::Malformed;
+    }
+    const Json &array = document.value();
+    if (array[0].is_binary()) {
+        this->impl->machine.process_event(ProofReceived{array[0].get_binary()});
+        return this->impl->machine.step;
+    }
+    auto greeting = readGreeting(array);
+    if (!greeting) {
+        return HandshakeRefusal::Malformed;
+    }
+    this->impl->machine.process_event(GreetingReceived{std::move(*greeting), bytes});
+    return this->impl->machine.step;
+}
+
+const InstanceIdentity &PeerHandshake::peer() const
+{
+    return this->impl->machine.peer;
+}
+
+} // namespace Tanagertally
--- a/src/peer/peer_links.cpp
+++ b/src/peer/peer_links.cpp
@@ -1,8 +1,131 @@
 #include "peer/peer_links.h"
 
+#include "peer/link_table.h"
+
+#include <atomic>
+#include <utility>
+
 namespace Tanagertally {
 
 struct PeerLinks::Impl {
+    std::unique_ptr<LinkTable> table; ///< Created before the transport's thread starts; used on it only, but for the counters.
+    std::unique_ptr<WebsocketTransport> transport; ///< Destroyed first, which ends the thread.
+    std::mutex closing; ///< Held while close() runs.
+    std::atomic<bool> isClosed{false}; ///< Whether close() was called.
+
+    /** Run a function of the table on the transport's thread. */
+    template<typename Function>
+    void post(Function function)
+    {
+        if (!this->isClosed) {
+            this->transport->post([this, function = std::move(function)] { function(*this->table); });
+        }
+    }
+
+    WebsocketTransportHandlers makeHandlers()
+    {
+        WebsocketTransportHandlers handlers;
+        handlers.opened = [this](ConnectionHandle handle, ConnectionSide side) { this->table->connectionOpened(handle, side); };
+        handlers.received = [this](ConnectionHandle handle, const std::string &bytes) { this->table->connectionReceived(handle, bytes); };
+        handlers.heard = [this](ConnectionHandle handle) { this->table->connectionHeard(handle); };
+        handlers.closed = [this](ConnectionHandle handle, std::uint16_t code) { this->table->connectionClosed(handle, code); };
+        return handlers;
+    }
 };
 
+namespace {
+
+/** @return What is wrong with the options, if anything. */
+Result<void> checkOptions(const PeerLinksOptions &options)
+{
+    if (options.identity.name.empty()) {
+        return makeError(ErrorCode::BadInput, "peer links need the instance's name", "identity.name");
+    }
+    if (options.sharedKey.empty()) {
+        return makeError(ErrorCode::BadInput, "peer links need a shared key", "sharedKey");
+    }
+    if (!WebsocketTransport::isAddress(options.listen.value)) {
+        return makeError(ErrorCode::BadInput, "a numeric IP:port is expected", "listen");
+    }
+    if (options.reconnectInterval <= Duration::zero() || options.silenceTimeout <= Duration::zero()
+        || options.handshakeTimeout <= Duration::zero()) {
+        return makeError(ErrorCode::BadInput, "intervals and timeouts of peer links have to be positive", "reconnectInterval");
+    }
+    return boost::outcome_v2::success();
+}
+
+WebsocketTransportOptions transportOptions(const PeerLinksOptions &options)
+{
+    WebsocketTransportOptions result;
+    result.listenAddress = options.listen.value;
+    result.maxMessageBytes = options.maxMessageBytes;
+    result.openTimeout = std::chrono::ceil<std::chrono::milliseconds>(options.handshakeTimeout);
+    return result;
+}
+
+} // namespace
+
+PeerLinks::PeerLinks(std::unique_ptr<Impl> parts)
+    : impl(std::move(parts))
+{
+}
+
+PeerLinks::~PeerLinks()
+{
+    this->close();
+}
+
+Result<std::unique_ptr<PeerLinks>> PeerLinks::create(EventQueue &events, PeerLinksOptions options)
+{
+    const auto checked = checkOptions(options);
+    if (checked.has_error()) {
+        return checked.error();
+    }
+    auto parts = std::make_unique<Impl>();
+    std::string failure;
+    parts->transport = WebsocketTransport::create(transportOptions(options), parts->makeHandlers(), failure);
+    if (!parts->transport) {
+        return makeError(ErrorCode::Unavailable, "peer links: " + failure, "listen");
+    }
+    if (options.identity.peerAddress.empty()) {
+        options.identity.peerAddress = NetAddress(parts->transport->listenAddress());
+    }
+    parts->table = std::make_unique<LinkTable>(events, std::move(options), *parts->transport);
+    parts->transport->start();
+    parts->post([](LinkTable &table) { table.tick(); });
+    return std::unique_ptr<PeerLinks>(new PeerLinks(std::move(parts)));
+}
+
+void PeerLinks::carryOut(const OpenPeer &action)
+{
+    this->impl->post([action](LinkTable &table) { table.open(action); });
+}
+
+void PeerLinks::carryOut(const ClosePeer &action)
+{
+    this->impl->post([action](LinkTable &table) { table.close(action); });
+}
+
+void PeerLinks::carryOut(SendToPeer action)
+{
+    this->impl->post([action = std::move(action)](LinkTable &table) { table.send(action); });
+}
+
+void PeerLinks::close()
+{
+    const std::lock_guard lock(this->impl->closing);
+    this->impl->isClosed = true;
+    this->impl->transport->shutDown();
+}
+
+NetAddress PeerLinks::listenAddress() const
+{
+    return NetAddress(this->impl->transport->listenAddress());
+}
+
+PeerLinksStats PeerLinks::stats() const
+{
+    return this->impl->table->counters.read();
+}
+
 } // namespace Tanagertally
--- /dev/null
+++ b/src/peer/websocket_transport.cpp
@@ -0,0 +1,367 @@
+// Built as C++17; see docs/PEERS.md.
+#include "peer/websocket_transport.h"
+
+#include <websocketpp/client.hpp>
+#include <websocketpp/config/asio_no_tls_client.hpp>
+#include <websocketpp/server.hpp>
+
+#include <atomic>
+#include <optional>
+#include <thread>
+#include <unordered_map>
+#include <utility>
+
+namespace Tanagertally {
+
+namespace {
+
+constexpr std::size_t MaxHttpBodyBytes = 1024;
+constexpr std::size_t SocketReadBufferBytes = 65536;
+constexpr std::uint16_t GoingAway = 1001;
+constexpr auto ShutDownCheckInterval = std::chrono::milliseconds(2);
+
+/** Both roles use one configuration, so that their connections are of one type. */
+struct TransportConfig : websocketpp::config::asio_client {
+    static const std::size_t connection_read_buffer_size = SocketReadBufferBytes;
+    static const bool enable_extensions = false;
+};
+
+using Server = websocketpp::server<TransportConfig>;
+using Client = websocketpp::client<TransportConfig>;
+using Connection = websocketpp::connection<TransportConfig>;
+using TcpEndpoint = boost::asio::ip::tcp::endpoint;
+
+/** Read "IP:port" or "[IP]:port". */
+std::optional<TcpEndpoint> parseAddress(const std::string &text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos || colon == 0 || colon + 1 == text.size() || text.size() - colon > 6) {
+        return std::nullopt;
+    }
+    std::string host = text.substr(0, colon);
+    if (host.front() == '[' && host.back() == ']') {
+        host = host.substr(1, host.size() - 2);
+    }
+    unsigned port = 0;
+    for (const char digit : text.substr(colon + 1)) {
+        if (digit < '0' || digit > '9') {
+            return std::nullopt;
+        }
+        port = port * 10 + static_cast<unsigned>(digit - '0');
+    }
+    boost::system::error_code failure;
+    const auto ip = boost::asio::ip::make_address(host, failure);
+    if (failure || port > 65535) {
+        return std::nullopt;
+    }
+    return TcpEndpoint(ip, static_cast<std::uint16_t>(port));
+}
+
+std::string toText(const TcpEndpoint &endpoint)
+{
+    const std::string host = endpoint.address().to_string();
+    const std::string port = std::to_string(endpoint.port());
+    return endpoint.address().is_v6() ? "[" + host + "]:" + port : host + ":" + port;
+}
+
+} // namespace
+
+struct WebsocketTransport::Impl {
+    WebsocketTransportOptions options; ///< Set-up.
+    WebsocketTransportHandlers handlers; ///< What to call.
+    boost::asio::io_context io{1}; ///< Runs everything; one thread.
+    Server server; ///< Accepts connections.
+    Client client; ///< Opens connections.
+    std::unordered_map<ConnectionHandle, Connection::ptr> connections; ///< Open and opening connections.
+    ConnectionHandle lastHandle = 0; ///< Last handle given out.
+    std::string boundAddress; ///< Address listened on.
+    std::optional<boost::asio::executor_work_guard<boost::asio::io_context::executor_type>> work; ///< Keeps the thread running.
+    std::thread thread; ///< Runs `io`.
+    std::atomic<bool> isShuttingDown{false}; ///< Set by shutDown(): no handler is called any more.
+
+    bool listen(std::string &error)
+    {
+        const auto endpoint = parseAddress(this->options.listenAddress);
+        if (!endpoint) {
+            error = "not a numeric IP:port";
+            return false;
+        }
+        this->setUp(this->client);
+        this->setUp(this->server);
+        this->server.set_reuse_addr(true);
+        websocketpp::lib::error_code failure;
+        this->server.listen(*endpoint, failure);
+        if (failure) {
+            error = "can't listen: " + failure.message();
+            return false;
+        }
+        boost::system::error_code noAddress;
+        this->boundAddress = toText(this->server.get_local_endpoint(noAddress));
+        this->server.set_open_handler(
+            [this](websocketpp::connection_hdl hdl) { this->accepted(this->server.get_con_from_hdl(std::move(hdl))); });
+        this->server.start_accept(failure);
+        return !failure;
+    }
+
+    template<typename Role>
+    void setUp(Role &role)
+    {
+        role.clear_access_channels(websocketpp::log::alevel::all);
+        role.clear_error_channels(websocketpp::log::elevel::all);
+        role.init_asio(&this->io);
+        role.set_user_agent("");
+        role.set_max_http_body_size(MaxHttpBodyBytes);
+        role.set_max_message_size(this->options.maxHandshakeBytes);
+        role.set_open_handshake_timeout(static_cast<long>(this->options.openTimeout.count()));
+        role.set_close_handshake_timeout(static_cast<long>(this->options.closeTimeout.count()));
+    }
+
+    void run()
+    {
+        this->work.emplace(this->io.get_executor());
+        this->thread = std::thread([this] { this->runToEnd(); });
+    }
+
+    /** Run handlers until the end; an exception out of the library ends one handler and not the process. */
+    void runToEnd()
+    {
+        while (!this->io.stopped()) {
+            try {
+                this->io.run();
+            } catch (const std::exception &) {
+                continue;
+            }
+        }
+    }
+
+    /** Route a connection's callbacks to its handle. */
+    ConnectionHandle keep(const Connection::ptr &connection)
+    {
+        const ConnectionHandle handle = ++this->lastHandle;
+        this->connections.emplace(handle, connection);
+        connection->set_message_handler([this, handle](const websocketpp::connection_hdl &, const Connection::message_ptr &message) {
+            if (this->isHeard(handle)) {
+                this->handlers.received(handle, message->get_payload());
+            }
+        });
+        connection->set_ping_handler([this, handle](const websocketpp::connection_hdl &, const std::string &) {
+            this->hear(handle);
+            return true;
+        });
+        connection->set_pong_handler([this, handle](const websocketpp::connection_hdl &, const std::string &) { this->hear(handle); });
+        connection->set_close_handler([this, handle](const websocketpp::connection_hdl &) { this->lose(handle); });
+        connection->set_fail_handler([this, handle](const websocketpp::connection_hdl &) { this->lose(handle); });
+        return handle;
+    }
+
+    bool isHeard(ConnectionHandle handle) const
+    {
+        return !this->isShuttingDown && this->connections.count(handle) > 0;
+    }
+
+    void hear(ConnectionHandle handle)
+    {
+        if (this->isHeard(handle)) {
+            this->handlers.heard(handle);
+        }
+    }
+
+    void accepted(const Connection::ptr &connection)
+    {
+        if (this->isShuttingDown) {
+            closeSocket(connection);
+            return;
+        }
+        this->opened(this->keep(connection), connection, ConnectionSide::Acceptor);
+    }
+
+    void opened(ConnectionHandle handle, const Connection::ptr &connection, ConnectionSide side)
+    {
+        boost::system::error_code ignored;
+        connection->get_raw_socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+        if (this->isHeard(handle)) {
+            this->handlers.opened(handle, side);
+            return;
+        }
+        closeSocket(connection);
+    }
+
+    void lose(ConnectionHandle handle)
+    {
+        const auto found = this->connections.find(handle);
+        if (found == this->connections.end()) {
+            return;
+        }
+        const std::uint16_t code = found->second->get_remote_close_code();
+        this->connections.erase(found);
+        if (!this->isShuttingDown) {
+            this->handlers.closed(handle, code);
+        }
+    }
+
+    /** Close the socket under websocketpp: its pending operations fail at once, and it cleans up after them. */
+    static void closeSocket(const Connection::ptr &connection)
+    {
+        boost::system::error_code ignored;
+        connection->get_raw_socket().close(ignored);
+    }
+
+    void startShutDown()
+    {
+        websocketpp::lib::error_code failure;
+        this->server.stop_listening(failure);
+        const auto open = this->connections;
+        for (const auto &entry : open) {
+            entry.second->close(GoingAway, "", failure);
+            if (failure) {
+                closeSocket(entry.second);
+            }
+        }
+        this->awaitShutDown(std::chrono::steady_clock::now() + this->options.closeTimeout);
+    }
+
+    void awaitShutDown(std::chrono::steady_clock::time_point deadline)
+    {
+        if (this->connections.empty() || std::chrono::steady_clock::now() >= deadline) {
+            this->io.stop();
+            return;
+        }
+        this->callAfter(ShutDownCheckInterval, [this, deadline] { this->awaitShutDown(deadline); });
+    }
+
+    void callAfter(std::chrono::nanoseconds delay, std::function<void()> task)
+    {
+        auto timer = std::make_shared<boost::asio::steady_timer>(this->io, delay);
+        timer->async_wait([timer, task = std::move(task)](const boost::system::error_code &failure) {
+            if (!failure) {
+                task();
+            }
+        });
+    }
+};
+
+WebsocketTransport::WebsocketTransport(std::unique_ptr<Impl> parts)
+    : impl(std::move(parts))
+{
+}
+
+WebsocketTransport::~WebsocketTransport()
+{
+    this->shutDown();
+}
+
+std::unique_ptr<WebsocketTransport> WebsocketTransport::create(const WebsocketTransportOptions &options,
+                                                               WebsocketTransportHandlers handlers, std::string &error)
+{
+    auto parts = std::make_unique<Impl>();
+    parts->options = options;
+    parts->handlers = std::move(handlers);
+    if (!parts->listen(error)) {
+        return nullptr;
+    }
+    return std::unique_ptr<WebsocketTransport>(new WebsocketTransport(std::move(parts)));
+}
+
+void WebsocketTransport::start()
+{
+    this->impl->run();
+}
+
+bool WebsocketTransport::isAddress(const std::string &text)
+{
+    return parseAddress(text).has_value();
+}
+
+const std::string &WebsocketTransport::listenAddress() const
+{
+    return this->impl->boundAddress;
+}
+
+void WebsocketTransport::post(std::function<void()> task)
+{
+    boost::asio::post(this->impl->io, std::move(task));
+}
+
+void WebsocketTransport::callAfter(std::chrono::nanoseconds delay, std::function<void()> task)
+{
+    this->impl->callAfter(delay, std::move(task));
+}
+
+ConnectionHandle WebsocketTransport::connect(const std::string &address)
+{
+    const auto endpoint = parseAddress(address);
+    if (!endpoint) {
+        return 0;
+    }
+    websocketpp::lib::error_code failure;
+    const Connection::ptr connection = this->impl->client.get_connection("ws://" + toText(*endpoint) + "/", failure);
+    if (failure) {
+        return 0;
+    }
+    const ConnectionHandle handle = this->impl->keep(connection);
+    connection->set_open_handler([parts = this->impl.get(), handle](websocketpp::connection_hdl hdl) {
+        parts->opened(handle, parts->client.get_con_from_hdl(std::move(hdl)), ConnectionSide::Connector);
+    });
+    this->impl->client.connect(connection);
+    return handle;
+}
+
+std::size_t WebsocketTransport::send(ConnectionHandle handle, const std::string &bytes)
+{
+    const auto found = this->impl->connections.find(handle);
+    if (found == this->impl->connections.end()) {
+        return 0;
+    }
+    found->second->send(bytes.data(), bytes.size(), websocketpp::frame::opcode::binary);
+    return found->second->get_buffered_amount();
+}
+
+void WebsocketTransport::ping(ConnectionHandle handle)
+{
+    const auto found = this->impl->connections.find(handle);
+    if (found != this->impl->connections.end()) {
+        websocketpp::lib::error_code ignored;
+        found->second->ping("", ignored);
+    }
+}
+
+void WebsocketTransport::liftMessageLimit(ConnectionHandle handle)
+{
+    const auto found = this->impl->connections.find(handle);
+    if (found != this->impl->connections.end()) {
+        found->second->set_max_message_size(this->impl->options.maxMessageBytes);
+    }
+}
+
+void WebsocketTransport::close(ConnectionHandle handle, std::uint16_t code)
+{
+    const auto found = this->impl->connections.find(handle);
+    if (found != this->impl->connections.end()) {
+        websocketpp::lib::error_code ignored;
+        found->second->close(code, "", ignored);
+    }
+}
+
+void WebsocketTransport::abort(ConnectionHandle handle)
+{
+    const auto found = this->impl->connections.find(handle);
+    if (found == this->impl->connections.end()) {
+        return;
+    }
+    const Connection::ptr connection = found->second;
+    this->impl->connections.erase(found);
+    Impl::closeSocket(connection);
+}
+
+void WebsocketTransport::shutDown()
+{
+    if (!this->impl->thread.joinable()) {
+        return;
+    }
+    this->impl->isShuttingDown = true;
+    this->post([parts = this->impl.get()] { parts->startShutDown(); });
+    this->impl->thread.join();
+    this->impl->connections.clear();
+}
+
+} // namespace Tanagertally
