--- /dev/null
+++ b/src/daemon/daemon.cpp
@@ -0,0 +1,125 @@
+#include "daemon/daemon.h"
+
+#include "daemon/control_thread.h"
+#include "daemon/daemon_adapters.h"
+#include "daemon/log.h"
+#include "daemon/stats_board.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <array>
+#include <csignal>
+#include <random>
+#include <thread>
+#include <vector>
+
+namespace Tanagertally {
+
+namespace {
+
+std::uint64_t drawRandom()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32) | device();
+}
+
+/** Threads that run an io_context until they are told to stop. */
+class TrafficThreads
+{
+public:
+    TrafficThreads(boost::asio::io_context &context, std::uint32_t count)
+        : io(context)
+        , work(context.get_executor())
+    {
+        for (std::uint32_t index = 0; index < count; ++index) {
+            this->threads.emplace_back([this] { this->io.run(); });
+        }
+    }
+
+    ~TrafficThreads()
+    {
+        this->io.stop();
+    }
+
+    TrafficThreads(const TrafficThreads &) = delete;
+    TrafficThreads &operator=(const TrafficThreads &) = delete;
+
+private:
+    boost::asio::io_context &io; ///< What they run.
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work; ///< Keeps it running.
+    std::vector<std::jthread> threads; ///< The threads; joined when destroyed.
+};
+
+/** Turns the first SIGTERM or SIGINT into StopRequested and swallows the others. */
+class StopSignals
+{
+public:
+    StopSignals(boost::asio::io_context &io, EventQueue &queue)
+        : signals(io, SIGTERM, SIGINT)
+        , events(queue)
+    {
+        this->wait();
+    }
+
+private:
+    void wait()
+    {
+        this->signals.async_wait([this](const boost::system::error_code &error, int) {
+            if (error) {
+                return;
+            }
+            if (!this->requested) {
+                this->requested = true;
+                this->events.push(StopRequested{});
+            }
+            this->wait();
+        });
+    }
+
+    boost::asio::signal_set signals; ///< The signals.
+    EventQueue &events; ///< Where StopRequested goes.
+    bool requested = false; ///< Whether it has been pushed; touched by one handler at a time.
+};
+
+CoordinatorOptions coordinatorOptions(const Settings &settings, const InstanceIdentity &identity)
+{
+    CoordinatorOptions options;
+    options.identity = identity;
+    options.seed = drawRandom();
+    options.peers = settings.peers;
+    options.initialConfig = settings.fleet;
+    return options;
+}
+
+std::vector<LogField> identityFields(const InstanceIdentity &identity)
+{
+    return {{"instance", identity.name.value},
+            {"domain", identity.domain.value},
+            {"peer_address", identity.peerAddress.value},
+            {"incarnation", std::to_string(identity.incarnation.value)}};
+}
+
+} // namespace
+
+Result<void> runDaemon(const Settings &settings)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    const auto log = EventLog::create(settings.logLevel);
+    const InstanceIdentity identity{settings.name, settings.domain, settings.peerListen, Incarnation(drawRandom())};
+    EventQueue events;
+    StatsBoard board;
+    boost::asio::io_context io;
+    const StopSignals stopSignals(io, events);
+    BOOST_OUTCOME_TRY(auto coordinator, Coordinator::create(coordinatorOptions(settings, identity)));
+    BOOST_OUTCOME_TRY(const auto adapters, DaemonAdapters::create(AdapterContext{io, events, board, *log}, settings, identity));
+    BOOST_OUTCOME_TRY(const auto control, ControlThread<DaemonAdapters>::create(std::move(coordinator), events, *adapters, board));
+    log->write(LogLevel::Info, "started", identityFields(identity));
+    const TrafficThreads traffic(io, settings.trafficThreads);
+    control->run();
+    log->write(LogLevel::Info, "stopped", identityFields(identity));
+    return boost::outcome_v2::success();
+}
+
+} // namespace Tanagertally
--- /dev/null
+++ b/src/daemon/fleet_yaml.cpp
@@ -0,0 +1,121 @@
+#include "daemon/fleet_yaml.h"
+
+#include "blackboard/config_codec.h"
+
+#include <nlohmann/json.hpp>
+
+#include <map>
+
+namespace Tanagertally {
+
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+/** Turns YAML into JSON and remembers the line of each path. */
+class YamlToJson
+{
+public:
+    /**
+     * Convert a node.
+     * @param node The node.
+     * @param path JSON path of the node; empty for the document.
+     * @return The same value in JSON.
+     */
+    Json convert(const YAML::Node &node, const std::string &path)
+    {
+        this->lines.emplace(path, lineOf(node));
+        if (node.IsMap()) {
+            return this->convertMap(node, path);
+        }
+        if (node.IsSequence()) {
+            return this->convertSequence(node, path);
+        }
+        return node.IsScalar() ? convertScalar(node) : Json();
+    }
+
+    /** @return The line of a path, or of the nearest path above that has one. */
+    int lineOfPath(std::string path) const
+    {
+        while (!this->lines.contains(path)) {
+            const std::size_t cut = path.find_last_of(".[");
+            path = cut == std::string::npos ? std::string() : path.substr(0, cut);
+        }
+        return this->lines.at(path);
+    }
+
+    /** @return Errors for keys that stand twice in one map. */
+    const std::vector<LinedError> &duplicates() const
+    {
+        return this->duplicateKeys;
+    }
+
+private:
+    Json convertMap(const YAML::Node &node, const std::string &path)
+    {
+        Json object = Json::object();
+        for (const auto &entry : node) {
+            const std::string name = entry.first.Scalar();
+            const std::string memberPath = path.empty() ? name : path + "." + name;
+            if (object.contains(name)) {
+                Error error = makeError(ErrorCode::BadInput, "expected each key once", memberPath);
+                this->duplicateKeys.push_back(LinedError{lineOf(entry.first), std::move(error)});
+                continue;
+            }
+            this->lines.emplace(memberPath, lineOf(entry.first));
+            object[name] = this->convert(entry.second, memberPath);
+        }
+        return object;
+    }
+
+    Json convertSequence(const YAML::Node &node, const std::string &path)
+    {
+        Json array = Json::array();
+        for (std::size_t index = 0; index < node.size(); ++index) {
+            array.push_back(this->convert(node[index], path + "[" + std::to_string(index) + "]"));
+        }
+        return array;
+    }
+
+    /** Quoted text stays text; plain text is a JSON boolean or number if it reads as one. */
+    static Json convertScalar(const YAML::Node &node)
+    {
+        const std::string &text = node.Scalar();
+        if (node.Tag() == "!") {
+            return text;
+        }
+        Json value = Json::parse(text, nullptr, false);
+        return value.is_boolean() || value.is_number() ? value : Json(text);
+    }
+
+    std::map<std::string, int> lines; ///< Line of each path.
+    std::vector<LinedError> duplicateKeys; ///< Keys that stand twice.
+};
+
+} // namespace
+
+int lineOf(const YAML::Node &node)
+{
+    return node.Mark().line + 1;
+}
+
+FleetYamlResult fleetConfigFromYaml(const YAML::Node &node, const std::string &key)
+{
+    YamlToJson converter;
+    const std::string text = converter.convert(node, "").dump();
+    std::vector<LinedError> errors = converter.duplicates();
+    for (Error &error : fleetConfigErrors(text)) {
+        const std::string path = error.field == "$" ? std::string() : error.field;
+        errors.push_back(LinedError{converter.lineOfPath(path), std::move(error)});
+    }
+    for (LinedError &found : errors) {
+        const std::string &path = found.error.field;
+        found.error.field = path == "$" ? key : key + "." + path;
+    }
+    if (!errors.empty()) {
+        return errors;
+    }
+    return fleetConfigFromJson(text).value();
+}
+
+} // namespace Tanagertally
--- /dev/null
+++ b/src/daemon/settings_table.cpp
@@ -0,0 +1,267 @@
+#include "daemon/settings_table.h"
+
+#include <array>
+
+namespace Tanagertally {
+
+namespace {
+
+constexpr std::int64_t Millisecond = 1'000'000;
+constexpr std::int64_t Second = 1'000 * Millisecond;
+constexpr std::int64_t Minute = 60 * Second;
+constexpr std::int64_t KiB = 1'024;
+constexpr std::int64_t MiB = 1'024 * KiB;
+
+constexpr SettingRange NameLength{1, 64};
+constexpr SettingRange SecretLength{16, 256};
+
+LogLevel logLevelOf(std::string_view word)
+{
+    if (word == "debug") {
+        return LogLevel::Debug;
+    }
+    if (word == "warning") {
+        return LogLevel::Warning;
+    }
+    return word == "error" ? LogLevel::Error : LogLevel::Info;
+}
+
+const Setting Table[] = {
+    {
+        .path = "instance.name",
+        .type = SettingType::Name,
+        .range = NameLength,
+        .doc = "Name of this instance, unique in the fleet.",
+        .set = [](Settings &settings, std::string_view text) { settings.name.value = text; },
+    },
+    {
+        .path = "instance.domain",
+        .type = SettingType::Name,
+        .range = NameLength,
+        .doc = "Failure domain that this instance runs in.",
+        .set = [](Settings &settings, std::string_view text) { settings.domain.value = text; },
+    },
+    {
+        .path = "listen.peer",
+        .type = SettingType::Address,
+        .doc = "Where this instance accepts links of its peers; also the address that it gives them.",
+        .set = [](Settings &settings, std::string_view text) { settings.peerListen.value = text; },
+    },
+    {
+        .path = "listen.caller",
+        .type = SettingType::Address,
+        .doc = "Where this instance serves callers.",
+        .set = [](Settings &settings, std::string_view text) { settings.callerListen.value = text; },
+    },
+    {
+        .path = "listen.operator",
+        .type = SettingType::Address,
+        .doc = "Where this instance serves operators, metrics and health checks.",
+        .set = [](Settings &settings, std::string_view text) { settings.operatorListen.value = text; },
+    },
+    {
+        .path = "peer.key",
+        .type = SettingType::Secret,
+        .range = SecretLength,
+        .presence = Presence::Optional,
+        .doc = "Secret that all instances of the fleet share; either this or `peer.keyFile` is needed.",
+        .set = [](Settings &settings, std::string_view text) { settings.peerKey = text; },
+    },
+    {
+        .path = "peer.keyFile",
+        .type = SettingType::File,
+        .presence = Presence::Optional,
+        .doc = "File whose first line is the secret of `peer.key`.",
+        .set = [](Settings &settings, std::string_view text) { settings.peerKeyFile = text; },
+    },
+    {
+        .path = "peer.addresses",
+        .type = SettingType::AddressList,
+        .range = {0, 1'000},
+        .presence = Presence::Optional,
+        .doc = "Peers known from the start; others are learned from the platform's instance list.",
+        .set = [](Settings &settings, std::string_view text) { settings.peers.emplace_back(std::string(text)); },
+    },
+    {
+        .path = "platform.address",
+        .type = SettingType::Address,
+        .doc = "Address of the platform's service.",
+        .set = [](Settings &settings, std::string_view text) { settings.platform.value = text; },
+    },
+    {
+        .path = "platform.listInterval",
+        .type = SettingType::TimeSpan,
+        .range = {100 * Millisecond, Minute},
+        .presence = Presence::Defaulted,
+        .defaultText = "500ms",
+        .doc = "Time between two reads of the platform's instance list.",
+        .set = [](Settings &settings, std::int64_t number) { settings.platformListInterval = Duration(number); },
+    },
+    {
+        .path = "platform.connections",
+        .type = SettingType::Whole,
+        .range = {1, 64},
+        .presence = Presence::Defaulted,
+        .defaultText = "4",
+        .doc = "Connections to the platform's service.",
+        .set = [](Settings &settings, std::int64_t number) { settings.platformConnections = static_cast<std::uint32_t>(number); },
+    },
+    {
+        .path = "teams",
+        .type = SettingType::Entries,
+        .range = {1, 10'000},
+        .doc = "Teams that may submit jobs.",
+        .set = [](Settings &settings) { settings.teams.emplace_back(); },
+    },
+    {
+        .path = "teams[].name",
+        .type = SettingType::Name,
+        .range = NameLength,
+        .doc = "Name of the team; no two entries have the same.",
+        .set = [](Settings &settings, std::string_view text) { settings.teams.back().team.value = text; },
+    },
+    {
+        .path = "teams[].key",
+        .type = SettingType::Secret,
+        .range = SecretLength,
+        .doc = "Secret with which callers of the team prove who they are.",
+        .set = [](Settings &settings, std::string_view text) { settings.teams.back().key = text; },
+    },
+    {
+        .path = "operators",
+        .type = SettingType::Entries,
+        .range = {1, 1'000},
+        .doc = "Operators that may ask and command.",
+        .set = [](Settings &settings) { settings.operators.emplace_back(); },
+    },
+    {
+        .path = "operators[].name",
+        .type = SettingType::Name,
+        .range = NameLength,
+        .doc = "Name of the operator, as the audit trail shows it; no two entries have the same.",
+        .set = [](Settings &settings, std::string_view text) { settings.operators.back().name.value = text; },
+    },
+    {
+        .path = "operators[].key",
+        .type = SettingType::Secret,
+        .range = SecretLength,
+        .doc = "Secret with which the operator proves who they are.",
+        .set = [](Settings &settings, std::string_view text) { settings.operators.back().key = text; },
+    },
+    {
+        .path = "traffic.threads",
+        .type = SettingType::Whole,
+        .range = {1, 64},
+        .presence = Presence::Defaulted,
+        .defaultText = "2",
+        .doc = "Threads for sockets and codecs, beside the one control thread.",
+        .set = [](Settings &settings, std::int64_t number) { settings.trafficThreads = static_cast<std::uint32_t>(number); },
+    },
+    {
+        .path = "log.level",
+        .type = SettingType::Choice,
+        .choices = "debug info warning error",
+        .presence = Presence::Defaulted,
+        .defaultText = "info",
+        .doc = "Least severity of the log lines on standard output.",
+        .set = [](Settings &settings, std::string_view text) { settings.logLevel = logLevelOf(text); },
+    },
+    {
+        .path = "limits.callerConnections",
+        .type = SettingType::Whole,
+        .range = {1, 1'000'000},
+        .presence = Presence::Defaulted,
+        .defaultText = "4096",
+        .doc = "Most connections of callers open at once.",
+        .set = [](Settings &settings, std::int64_t number) { settings.limits.callerConnections = static_cast<std::uint64_t>(number); },
+    },
+    {
+        .path = "limits.callerConnectionsPerAddress",
+        .type = SettingType::Whole,
+        .range = {1, 1'000'000},
+        .presence = Presence::Defaulted,
+        .defaultText = "4096",
+        .doc = "Most connections of callers from one remote IP address; behind a balancer, that is the balancer's.",
+        .set
+        = [](Settings &settings, std::int64_t number) { settings.limits.callerConnectionsPerAddress = static_cast<std::uint64_t>(number); },
+    },
+    {
+        .path = "limits.callerRequestBytes",
+        .type = SettingType::Size,
+        .range = {1 * KiB, 256 * MiB},
+        .presence = Presence::Defaulted,
+        .defaultText = "8MiB",
+        .doc = "Longest body of a caller's request.",
+        .set = [](Settings &settings, std::int64_t number) { settings.limits.callerRequestBytes = static_cast<std::uint64_t>(number); },
+    },
+    {
+        .path = "limits.callerIdleTimeout",
+        .type = SettingType::TimeSpan,
+        .range = {1 * Second, 60 * Minute},
+        .presence = Presence::Defaulted,
+        .defaultText = "75s",
+        .doc = "Time that a caller's connection stays open without a request.",
+        .set = [](Settings &settings, std::int64_t number) { settings.limits.callerIdleTimeout = Duration(number); },
+    },
+    {
+        .path = "limits.connectionsPerEndpoint",
+        .type = SettingType::Whole,
+        .range = {1, 1'000},
+        .presence = Presence::Defaulted,
+        .defaultText = "60",
+        .doc = "Most connections that this instance keeps to one endpoint.",
+        .set = [](Settings &settings, std::int64_t number) { settings.limits.connectionsPerEndpoint = static_cast<std::uint32_t>(number); },
+    },
+    {
+        .path = "limits.endpointConnectTimeout",
+        .type = SettingType::TimeSpan,
+        .range = {10 * Millisecond, 30 * Second},
+        .presence = Presence::Defaulted,
+        .defaultText = "500ms",
+        .doc = "Time for opening a connection to an endpoint.",
+        .set = [](Settings &settings, std::int64_t number) { settings.limits.endpointConnectTimeout = Duration(number); },
+    },
+    {
+        .path = "limits.peerMessageBytes",
+        .type = SettingType::Size,
+        .range = {64 * KiB, 256 * MiB},
+        .presence = Presence::Defaulted,
+        .defaultText = "16MiB",
+        .doc = "Largest message on a peer link.",
+        .set = [](Settings &settings, std::int64_t number) { settings.limits.peerMessageBytes = static_cast<std::uint64_t>(number); },
+    },
+    {
+        .path = "limits.peerReconnectInterval",
+        .type = SettingType::TimeSpan,
+        .range = {10 * Millisecond, Minute},
+        .presence = Presence::Defaulted,
+        .defaultText = "250ms",
+        .doc = "Time between two tries to open a peer link.",
+        .set = [](Settings &settings, std::int64_t number) { settings.limits.peerReconnectInterval = Duration(number); },
+    },
+    {
+        .path = "limits.peerSilenceTimeout",
+        .type = SettingType::TimeSpan,
+        .range = {100 * Millisecond, Minute},
+        .presence = Presence::Defaulted,
+        .defaultText = "1s",
+        .doc = "Silence after which a peer link counts as broken.",
+        .set = [](Settings &settings, std::int64_t number) { settings.limits.peerSilenceTimeout = Duration(number); },
+    },
+    {
+        .path = "fleet",
+        .type = SettingType::Document,
+        .presence = Presence::Optional,
+        .doc = "Fleet configuration that is proposed as version 1 if the platform holds none; later changes are made by operators.",
+        .set = {},
+    },
+};
+
+} // namespace
+
+std::span<const Setting> settingsTable()
+{
+    return Table;
+}
+
+} // namespace Tanagertally
