--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/outcome/try.hpp>
 
 #include <array>
 #include <csignal>
--- a/src/daemon/daemon_adapters.cpp
+++ b/src/daemon/daemon_adapters.cpp
@@ -3,6 +3,8 @@
 #include "daemon/control_thread.h"
 #include "daemon/metrics.h"
 
+#include <boost/outcome/try.hpp>
+
 #include <array>
 
 namespace Tanagertally {
--- a/src/daemon/log.cpp
+++ b/src/daemon/log.cpp
@@ -1,7 +1,9 @@
 #include "daemon/log.h"
 
 #include <spdlog/async.h>
+#include <spdlog/pattern_formatter.h>
 #include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
 
 #include <algorithm>
 
--- /dev/null
+++ b/src/daemon/tests/control_thread_test.cpp
@@ -0,0 +1,139 @@
+#include "daemon/control_thread.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+#include <thread>
+
+using namespace Tanagertally;
+
+namespace {
+
+/** Notes what it is asked to do. */
+struct FakeAdapters {
+    std::vector<std::string> calls; ///< What was asked, in order.
+
+    template<typename ActionType>
+    void carryOut(const ActionType &action)
+    {
+        if constexpr (std::same_as<ActionType, ReplyToCaller>) {
+            this->calls.push_back("reply " + std::to_string(action.request.value));
+        } else if constexpr (std::same_as<ActionType, SetReadiness>) {
+            this->calls.push_back(action.ready ? "ready" : "not ready");
+        }
+    }
+    void stopAccepting()
+    {
+        this->calls.emplace_back("stopAccepting");
+    }
+    void close()
+    {
+        this->calls.emplace_back("close");
+    }
+};
+
+/** Replies to every submission; exits when asked to stop. */
+class FakeCoordinator : public Coordinator
+{
+public:
+    void handle(TimePoint now, Event event, ActionList &actions) override
+    {
+        this->checkTime(now);
+        if (const auto *submitted = std::get_if<JobSubmitted>(&event)) {
+            actions.emplace_back(ReplyToCaller{submitted->request, Refusal{}, false});
+        }
+        if (std::holds_alternative<StopRequested>(event)) {
+            actions.emplace_back(SetReadiness{false, "stopping"});
+            actions.emplace_back(Exit{});
+        }
+    }
+    void advance(TimePoint now, ActionList &actions) override
+    {
+        this->checkTime(now);
+        if (this->advances++ == 0) {
+            actions.emplace_back(SetReadiness{true, ""});
+        }
+        this->deadline = now + std::chrono::milliseconds(1);
+    }
+    TimePoint nextDeadline() const override
+    {
+        return this->deadline;
+    }
+    CoordinatorStats stats() const override
+    {
+        CoordinatorStats figures;
+        figures.probes = this->advances;
+        return figures;
+    }
+
+private:
+    void checkTime(TimePoint now)
+    {
+        BOOST_TEST((now >= this->last));
+        this->last = now;
+    }
+
+    TimePoint deadline; ///< When to advance next.
+    TimePoint last; ///< Time of the last call.
+    std::uint64_t advances = 0; ///< Number of calls of advance().
+};
+
+JobSubmitted submission(std::uint64_t number)
+{
+    JobSubmitted submitted;
+    submitted.request = RequestId(number);
+    return submitted;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ControlThreadTest)
+
+BOOST_AUTO_TEST_CASE(EveryCallIsAnsweredBeforeTheAdaptersClose)
+{
+    EventQueue events;
+    FakeAdapters adapters;
+    StatsBoard board;
+    const auto control = ControlThread<FakeAdapters>::create(std::make_unique<FakeCoordinator>(), events, adapters, board);
+    BOOST_REQUIRE(control);
+    events.push(submission(1));
+    events.push(StopRequested{});
+    events.push(submission(2));
+    events.push(StopRequested{});
+    std::thread late([&events] {
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        events.push(submission(3));
+    });
+    control.value()->run();
+    late.join();
+    const std::vector<std::string> expected{"ready", "reply 1", "not ready", "reply 2", "not ready", "stopAccepting", "reply 3", "close"};
+    BOOST_TEST(adapters.calls == expected, boost::test_tools::per_element());
+    BOOST_TEST(board.read().events == 5u);
+}
+
+BOOST_AUTO_TEST_CASE(DeadlinesAreMetWithoutEvents)
+{
+    EventQueue events;
+    FakeAdapters adapters;
+    StatsBoard board;
+    const auto control = ControlThread<FakeAdapters>::create(std::make_unique<FakeCoordinator>(), events, adapters, board);
+    std::thread stopper([&] {
+        while (board.read().stats.probes < 10) {
+            std::this_thread::yield();
+        }
+        events.push(StopRequested{});
+    });
+    control.value()->run();
+    stopper.join();
+    BOOST_TEST(board.read().stats.probes >= 10u);
+}
+
+BOOST_AUTO_TEST_CASE(ThereHasToBeADecisionPart)
+{
+    EventQueue events;
+    FakeAdapters adapters;
+    StatsBoard board;
+    BOOST_TEST(!ControlThread<FakeAdapters>::create(nullptr, events, adapters, board));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/daemon/tests/log_test.cpp
@@ -0,0 +1,34 @@
+#include "daemon/log.h"
+#include "daemon/metrics.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <array>
+
+using namespace Tanagertally;
+
+BOOST_AUTO_TEST_SUITE(LogTest)
+
+BOOST_AUTO_TEST_CASE(ValuesAreQuotedWhenNeeded)
+{
+    const std::array<LogField, 5> fields{
+        {{"plain", "a/b:1"}, {"spaced", "two words"}, {"empty", ""}, {"marks", "a=\"b\\\""}, {"control", "x\ny\t"}}};
+    BOOST_TEST(formatLogPairs("job-answered", fields)
+               == R"(event=job-answered plain=a/b:1 spaced="two words" empty="" marks="a=\"b\\\"" control="x\ny\x09")");
+}
+
+BOOST_AUTO_TEST_CASE(MetricsTellCountersFromGauges)
+{
+    MetricsInput input;
+    input.control.stats.jobsComplete = 3;
+    input.control.stats.running = 2;
+    input.process = readProcessFigures();
+    BOOST_TEST(input.process.residentBytes > 0u);
+    const std::string page = formatMetrics(input);
+    for (const char *line : {"# TYPE tanagertally_jobs_complete_total counter\ntanagertally_jobs_complete_total 3\n",
+                             "# TYPE tanagertally_attempts_running gauge\ntanagertally_attempts_running 2\n"}) {
+        BOOST_TEST(page.find(line) != std::string::npos, page);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
