--- /dev/null
+++ b/tests/process/child_process.cpp
@@ -0,0 +1,107 @@
+#include "child_process.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+#include <thread>
+
+namespace Tanagertally::ProcessTests {
+
+namespace {
+
+constexpr auto PollInterval = std::chrono::milliseconds(5);
+constexpr auto LongestRun = std::chrono::seconds(30);
+constexpr int SignalExitBase = 128;
+
+pid_t spawn(const ChildCommand &command)
+{
+    std::vector<char *> arguments;
+    for (const std::string &argument : command.arguments) {
+        arguments.push_back(const_cast<char *>(argument.c_str()));
+    }
+    arguments.push_back(nullptr);
+    posix_spawn_file_actions_t files;
+    posix_spawn_file_actions_init(&files);
+    posix_spawn_file_actions_addopen(&files, STDIN_FILENO, "/dev/null", O_RDONLY, 0);
+    posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, command.output.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
+    pid_t pid = -1;
+    const int error = posix_spawn(&pid, arguments[0], &files, nullptr, arguments.data(), environ);
+    posix_spawn_file_actions_destroy(&files);
+    if (error != 0) {
+        throw std::runtime_error("can't start " + command.arguments[0]);
+    }
+    return pid;
+}
+
+} // namespace
+
+ChildProcess::ChildProcess(ChildCommand toStart)
+    : command(std::move(toStart))
+    , pid(spawn(this->command))
+{
+}
+
+ChildProcess::~ChildProcess()
+{
+    this->signal(SIGKILL);
+    this->waitForExit(LongestRun);
+}
+
+void ChildProcess::signal(int number)
+{
+    if (this->isRunning()) {
+        kill(this->pid, number);
+    }
+}
+
+void ChildProcess::poll()
+{
+    int status = 0;
+    if (this->exitCode || waitpid(this->pid, &status, WNOHANG) != this->pid) {
+        return;
+    }
+    this->exitCode = WIFEXITED(status) ? WEXITSTATUS(status) : SignalExitBase + WTERMSIG(status);
+}
+
+std::optional<int> ChildProcess::waitForExit(std::chrono::milliseconds timeout)
+{
+    const auto deadline = std::chrono::steady_clock::now() + timeout;
+    this->poll();
+    while (!this->exitCode && std::chrono::steady_clock::now() < deadline) {
+        std::this_thread::sleep_for(PollInterval);
+        this->poll();
+    }
+    return this->exitCode;
+}
+
+bool ChildProcess::isRunning()
+{
+    this->poll();
+    return !this->exitCode;
+}
+
+std::string ChildProcess::output() const
+{
+    std::ostringstream text;
+    text << std::ifstream(this->command.output).rdbuf();
+    return text.str();
+}
+
+int runToExit(ChildCommand command)
+{
+    ChildProcess process(std::move(command));
+    const std::optional<int> code = process.waitForExit(LongestRun);
+    if (!code) {
+        throw std::runtime_error("the process doesn't end");
+    }
+    return *code;
+}
+
+} // namespace Tanagertally::ProcessTests
