Endpoint adapter: connection life cycle, pool, attempts and probes

Attempts need an outcome that follows from evidence. One Boost.MSM machine per connection holds that evidence: whether a byte was handed to the kernel, and whether a whole answer came. Coroutines were left out: three plain handlers per request are enough and keep the one exit per request visible.

--- /dev/null
+++ b/src/endpoint/http_connection.cpp
@@ -0,0 +1,238 @@
+#include "endpoint/http_connection.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+
+namespace Tanagertally {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::chrono::seconds KeepaliveIdle{1}; ///< Silence after which the kernel probes the other side.
+constexpr std::chrono::seconds KeepaliveInterval{1}; ///< Time between two keepalive probes.
+constexpr int KeepaliveProbes = 3; ///< Unanswered probes after which the connection fails.
+constexpr std::chrono::milliseconds UserTimeout{4'000}; ///< Longest time that written data may stay unacknowledged.
+constexpr std::uint32_t MaxAnswerHeaderBytes = 8 * 1024; ///< Longest header of an answer.
+constexpr std::size_t FirstBufferBytes = 2 * 1024; ///< Memory set aside for answers at first.
+constexpr int FirstFinalStatus = 200; ///< Lower statuses announce an answer that is still to come.
+
+using KeepaliveIdleOption = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+using KeepaliveIntervalOption = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+using KeepaliveProbesOption = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+using UserTimeoutOption = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+
+template<typename Option>
+void setOption(HttpSocket &socket, const Option &option, error_code &firstError)
+{
+    error_code error;
+    socket.set_option(option, error);
+    if (error && !firstError) {
+        firstError = error;
+    }
+}
+
+} // namespace
+
+error_code setClientSocketOptions(HttpSocket &socket)
+{
+    error_code error;
+    setOption(socket, asio::ip::tcp::no_delay(true), error);
+    setOption(socket, asio::socket_base::keep_alive(true), error);
+    setOption(socket, KeepaliveIdleOption(static_cast<int>(KeepaliveIdle.count())), error);
+    setOption(socket, KeepaliveIntervalOption(static_cast<int>(KeepaliveInterval.count())), error);
+    setOption(socket, KeepaliveProbesOption(KeepaliveProbes), error);
+    setOption(socket, UserTimeoutOption(static_cast<int>(UserTimeout.count())), error);
+    return error;
+}
+
+std::shared_ptr<HttpConnection> HttpConnection::create(const HttpStrand &strand, asio::ip::tcp::endpoint address,
+                                                       HttpConnectionOptions limits)
+{
+    return std::make_shared<HttpConnection>(Passkey{}, strand, std::move(address), limits);
+}
+
+HttpConnection::HttpConnection(Passkey, const HttpStrand &strand, asio::ip::tcp::endpoint address, HttpConnectionOptions limits)
+    : socket(strand)
+    , timer(strand)
+    , peer(std::move(address))
+    , options(limits)
+    , buffer(MaxAnswerHeaderBytes + limits.maxAnswerBytes)
+{
+    this->buffer.reserve(FirstBufferBytes);
+}
+
+void HttpConnection::exchange(HttpRequest newRequest, std::optional<SteadyTimePoint> giveUpAt, HttpResultHandler handler)
+{
+    this->request = std::move(newRequest);
+    this->deadline = giveUpAt;
+    this->done = std::move(handler);
+    if (this->life.state() == ConnectionState::Unconnected) {
+        this->connect();
+        return;
+    }
+    this->life.reuse();
+    this->write();
+}
+
+void HttpConnection::connect()
+{
+    this->life.open();
+    error_code error;
+    this->socket.open(this->peer.protocol(), error);
+    if (!error) {
+        error = setClientSocketOptions(this->socket);
+    }
+    if (error) {
+        asio::post(this->socket.get_executor(), [self = this->shared_from_this(), error] { self->onConnected(error); });
+        return;
+    }
+    const SteadyTimePoint limit = std::chrono::steady_clock::now() + this->options.connectTimeout;
+    this->startTimer(std::min(limit, this->deadline.value_or(limit)), "timeout while connecting");
+    this->socket.async_connect(this->peer, [self = this->shared_from_this()](const error_code &result) { self->onConnected(result); });
+}
+
+void HttpConnection::onConnected(const error_code &error)
+{
+    if (error || !this->abortReason.empty()) {
+        this->fail(error.message(), 0);
+        return;
+    }
+    this->life.connected();
+    this->timer.cancel();
+    this->write();
+}
+
+void HttpConnection::write()
+{
+    ++this->timerRound;
+    if (this->deadline) {
+        this->startTimer(*this->deadline, "timeout");
+    }
+    this->writeStart = std::chrono::steady_clock::now();
+    const HttpRequest &message = this->request;
+    http::async_write(this->socket, message, [self = this->shared_from_this()](const error_code &error, std::size_t bytesWritten) {
+        self->onWritten(error, bytesWritten);
+    });
+}
+
+void HttpConnection::onWritten(const error_code &error, std::size_t bytesWritten)
+{
+    if (error) {
+        this->fail(error.message(), bytesWritten);
+        return;
+    }
+    this->life.written();
+    this->read();
+}
+
+void HttpConnection::read()
+{
+    this->parser.emplace();
+    this->parser->header_limit(MaxAnswerHeaderBytes);
+    this->parser->body_limit(this->options.maxAnswerBytes);
+    http::async_read(this->socket, this->buffer, *this->parser,
+                     [self = this->shared_from_this()](const error_code &error, std::size_t) { self->onRead(error); });
+}
+
+void HttpConnection::onRead(const error_code &error)
+{
+    if (error) {
+        this->fail(error.message(), 0);
+        return;
+    }
+    const bool delimited = this->parser->chunked() || this->parser->content_length().has_value();
+    if (!delimited || this->parser->get().result_int() < FirstFinalStatus) {
+        this->fail("the end of the answer can't be told", 0);
+        return;
+    }
+    const bool reusable = this->parser->get().keep_alive() && this->buffer.size() == 0 && this->abortReason.empty();
+    this->life.answered(reusable);
+    if (!reusable) {
+        this->closeSocket();
+    }
+    HttpResult result;
+    result.delivery = this->life.delivery();
+    result.answer = this->parser->release();
+    result.roundTrip = std::chrono::steady_clock::now() - this->writeStart;
+    this->finish(std::move(result));
+}
+
+void HttpConnection::startTimer(SteadyTimePoint expiry, std::string_view reason)
+{
+    const std::uint64_t round = ++this->timerRound;
+    this->timer.expires_at(expiry);
+    this->timer.async_wait([self = this->shared_from_this(), round, reason](const error_code &error) {
+        if (!error && round == self->timerRound) {
+            self->abort(reason);
+        }
+    });
+}
+
+void HttpConnection::abort(std::string_view reason)
+{
+    if (this->life.state() == ConnectionState::Closed) {
+        return;
+    }
+    this->abortReason = reason;
+    // Bytes that the kernel has not sent yet are dropped rather than delivered late.
+    error_code ignored;
+    this->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    this->closeSocket();
+    if (!this->done) {
+        this->life.failed(0);
+    }
+}
+
+void HttpConnection::fail(std::string_view reason, std::size_t bytesWritten)
+{
+    HttpResult result;
+    result.error = this->abortReason.empty() ? std::string(reason) : this->abortReason;
+    this->life.failed(bytesWritten);
+    result.delivery = this->life.delivery();
+    this->closeSocket();
+    this->finish(std::move(result));
+}
+
+void HttpConnection::finish(HttpResult result)
+{
+    ++this->timerRound;
+    if (this->deadline) {
+        this->timer.cancel();
+    }
+    this->request = {};
+    const HttpResultHandler handler = std::exchange(this->done, {});
+    handler(std::move(result));
+}
+
+void HttpConnection::closeSocket()
+{
+    error_code ignored;
+    this->socket.close(ignored);
+}
+
+bool HttpConnection::isIdle() const
+{
+    return this->life.state() == ConnectionState::Idle;
+}
+
+bool HttpConnection::isUsable()
+{
+    if (!this->isIdle()) {
+        return false;
+    }
+    char byte = 0;
+    const ssize_t got = ::recv(this->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+} // namespace Tanagertally
