Platform adapter: requests, replies and the instance list

The decision part needs to know of every failed write whether it may have taken effect. The HTTP client gives the delivery; the codec adds what a status or a malformed reply says. The instance list has a connection of its own, so that slow writes can't hold it up.

--- /dev/null
+++ b/src/platform/platform_client.cpp
@@ -0,0 +1,187 @@
+#include "platform/platform_client.h"
+
+#include "endpoint/http_pool.h"
+#include "endpoint/net_address_func.h"
+#include "endpoint/percent_func.h"
+#include "platform/platform_codec.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <atomic>
+
+namespace Tanagertally {
+
+namespace asio = boost::asio;
+
+namespace {
+
+HttpPoolOptions toPoolOptions(const PlatformClientOptions &options, std::uint32_t connections)
+{
+    HttpPoolOptions poolOptions;
+    poolOptions.connection.connectTimeout = options.connectTimeout;
+    poolOptions.connection.maxAnswerBytes = options.maxAnswerBytes;
+    poolOptions.maxConnections = connections;
+    poolOptions.maxWaiting = options.maxWaiting;
+    return poolOptions;
+}
+
+} // namespace
+
+/** Everything behind the client. Thread safety: as PlatformClient; private methods run on the strand of `listPool`. */
+class PlatformClient::Impl : public std::enable_shared_from_this<PlatformClient::Impl>
+{
+public:
+    Impl(asio::io_context &io, EventQueue &eventQueue, const PlatformClientOptions &setUp, const asio::ip::tcp::endpoint &address);
+    void startListing();
+    void ask(AskPlatform action);
+    void close();
+    std::uint64_t listFailures() const;
+
+private:
+    void readList();
+    void onList(const HttpResult &result);
+    void waitForNextList();
+
+    EventQueue &events; ///< Takes the events.
+    PlatformClientOptions options; ///< Set-up.
+    PlatformRequestFields fields; ///< Common header fields.
+    std::shared_ptr<HttpPool> requestPool; ///< Connections for requests.
+    std::shared_ptr<HttpPool> listPool; ///< The instance list's own connection, which slow requests can't hold up.
+    asio::steady_timer listTimer; ///< Time of the next read of the instance list.
+    bool closed = false; ///< Whether the instance list is read no more.
+    std::atomic<std::uint64_t> failures = 0; ///< Reads of the instance list that failed.
+};
+
+PlatformClient::Impl::Impl(asio::io_context &io, EventQueue &eventQueue, const PlatformClientOptions &setUp,
+                           const asio::ip::tcp::endpoint &address)
+    : events(eventQueue)
+    , options(setUp)
+    , fields{setUp.address.value, percentEncode(setUp.instance.value)}
+    , requestPool(HttpPool::create(io, address, toPoolOptions(setUp, setUp.connections)))
+    , listPool(HttpPool::create(io, address, toPoolOptions(setUp, 1)))
+    , listTimer(this->listPool->executor())
+{
+}
+
+void PlatformClient::Impl::startListing()
+{
+    asio::post(this->listPool->executor(), [self = this->shared_from_this()] { self->readList(); });
+}
+
+void PlatformClient::Impl::ask(AskPlatform action)
+{
+    const SteadyTimePoint deadline = std::chrono::steady_clock::now() + action.timeout;
+    auto work = [self = this->shared_from_this(), action = std::move(action), deadline]() mutable {
+        auto request = makePlatformRequest(action.request, self->fields);
+        if (!request) {
+            self->events.push(PlatformReplied{action.id, PlatformUnavailable{false, request.error().message}});
+            return;
+        }
+        HttpCall call;
+        call.id = HttpCallId(action.id.value);
+        call.request = std::move(request).value();
+        call.deadline = deadline;
+        call.done = [self, id = action.id, asked = std::move(action.request)](HttpResult result) {
+            self->events.push(PlatformReplied{id, toPlatformReply(asked, std::move(result))});
+        };
+        self->requestPool->start(std::move(call));
+    };
+    asio::post(this->requestPool->executor(), std::move(work));
+}
+
+void PlatformClient::Impl::close()
+{
+    asio::post(this->requestPool->executor(), [self = this->shared_from_this()] { self->requestPool->close(); });
+    asio::post(this->listPool->executor(), [self = this->shared_from_this()] {
+        self->closed = true;
+        self->listTimer.cancel();
+        self->listPool->close();
+    });
+}
+
+std::uint64_t PlatformClient::Impl::listFailures() const
+{
+    return this->failures.load(std::memory_order_relaxed);
+}
+
+void PlatformClient::Impl::readList()
+{
+    if (this->closed) {
+        return;
+    }
+    HttpCall call;
+    call.request = makeInstancesRequest(this->fields);
+    call.deadline = std::chrono::steady_clock::now() + this->options.listTimeout;
+    call.done = [self = this->shared_from_this()](const HttpResult &result) { self->onList(result); };
+    this->listPool->start(std::move(call));
+}
+
+void PlatformClient::Impl::onList(const HttpResult &result)
+{
+    const bool answered = result.delivery == Delivery::Answered && result.answer.result() == boost::beast::http::status::ok;
+    auto list = answered ? instanceListFromJson(result.answer.body()) : makeError(ErrorCode::Unavailable, result.error);
+    if (list) {
+        this->events.push(InstancesListed{std::move(list).value()});
+    } else {
+        this->failures.fetch_add(1, std::memory_order_relaxed);
+    }
+    this->waitForNextList();
+}
+
+void PlatformClient::Impl::waitForNextList()
+{
+    if (this->closed) {
+        return;
+    }
+    this->listTimer.expires_after(this->options.listInterval);
+    this->listTimer.async_wait([self = this->shared_from_this()](const boost::system::error_code &error) {
+        if (!error) {
+            self->readList();
+        }
+    });
+}
+
+Result<std::unique_ptr<PlatformClient>> PlatformClient::create(asio::io_context &io, EventQueue &events, PlatformClientOptions options)
+{
+    const auto address = toSocketAddress(options.address);
+    if (!address) {
+        return address.error();
+    }
+    if (options.connections == 0) {
+        return makeError(ErrorCode::BadInput, "expected at least one connection", "connections");
+    }
+    if (options.listInterval <= Duration::zero()) {
+        return makeError(ErrorCode::BadInput, "expected a positive time", "listInterval");
+    }
+    auto implementation = std::make_shared<Impl>(io, events, options, address.value());
+    implementation->startListing();
+    return std::unique_ptr<PlatformClient>(new PlatformClient(std::move(implementation)));
+}
+
+PlatformClient::PlatformClient(std::shared_ptr<Impl> implementation)
+    : impl(std::move(implementation))
+{
+}
+
+PlatformClient::~PlatformClient()
+{
+    this->close();
+}
+
+void PlatformClient::carryOut(AskPlatform action)
+{
+    this->impl->ask(std::move(action));
+}
+
+void PlatformClient::close()
+{
+    this->impl->close();
+}
+
+std::uint64_t PlatformClient::listFailures() const
+{
+    return this->impl->listFailures();
+}
+
+} // namespace Tanagertally
