--- a/src/endpoint/tests/endpoint_test.cpp
+++ b/src/endpoint/tests/endpoint_test.cpp
@@ -10,6 +10,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <atomic>
+#include <future>
 #include <netinet/tcp.h>
 
 using namespace Tanagertally;
@@ -77,22 +78,22 @@
     std::unique_ptr<EndpointPool> pool;
 };
 
-/** A condition that one thread sets and another one awaits. */
+/** A condition that one thread sets once and others await. */
 class Signal
 {
 public:
     void set()
     {
-        this->state.store(true);
-        this->state.notify_all();
+        this->promise.set_value();
     }
     void await() const
     {
-        this->state.wait(false);
+        BOOST_TEST((this->future.wait_for(EventTimeout) == std::future_status::ready));
     }
 
 private:
-    std::atomic<bool> state = false;
+    std::promise<void> promise;
+    std::shared_future<void> future = promise.get_future().share();
 };
 
 void answerAll(ServerConnection &connection, int number)
@@ -253,7 +254,9 @@
         connection.answer("200 OK", std::to_string(number));
         std::this_thread::sleep_for(50ms);
         connection.answer("200 OK", "\"unasked\"");
-        sent.set();
+        if (number == 0) {
+            sent.set();
+        }
         connection.awaitClose();
     });
     Rig rig(server.address());
--- /dev/null
+++ b/src/platform/tests/platform_test.cpp
@@ -0,0 +1,292 @@
+#define BOOST_TEST_MODULE platform
+#include "endpoint/tests/test_server.h"
+#include "platform/platform_client.h"
+#include "platform/platform_codec.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace Tanagertally;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto EventTimeout = 10s; ///< An event that takes longer does not come.
+constexpr auto QuietTime = 100ms; ///< Time in which a surplus event would have come.
+constexpr Duration NoListing = 1h; ///< Interval at which the list is read once only.
+
+/** A client, and the events that it pushes. The answers to its list requests are up to the server's script. */
+struct Rig {
+    explicit Rig(const NetAddress &address, Duration listInterval = NoListing, std::uint32_t connections = 4)
+    {
+        PlatformClientOptions options;
+        options.address = address;
+        options.listInterval = listInterval;
+        options.listTimeout = 200ms;
+        options.connections = connections;
+        options.instance = InstanceName("e 1");
+        options.maxAnswerBytes = 1000;
+        this->client = PlatformClient::create(this->io.context, this->events, options).value();
+    }
+    void ask(std::uint64_t id, PlatformRequest request, Duration timeout = 5s)
+    {
+        this->client->carryOut(AskPlatform{TableRequestId(id), std::move(request), timeout});
+    }
+    template<typename T>
+    T await()
+    {
+        if (this->batch.empty()) {
+            this->events.drain(std::chrono::steady_clock::now() + EventTimeout, this->batch);
+        }
+        BOOST_REQUIRE(!this->batch.empty());
+        T event = std::get<T>(this->batch.front());
+        this->batch.erase(this->batch.begin());
+        return event;
+    }
+    bool isQuiet()
+    {
+        if (this->batch.empty()) {
+            this->events.drain(std::chrono::steady_clock::now() + QuietTime, this->batch);
+        }
+        return this->batch.empty();
+    }
+
+    EventQueue events;
+    std::vector<Event> batch; ///< Events taken and not yet looked at.
+    RunningIo io{2};
+    std::unique_ptr<PlatformClient> client;
+};
+
+/** Read the next request that is not for the instance list; requests for the list are answered with an error. */
+std::string readTableRequest(ServerConnection &connection)
+{
+    std::string request = connection.readRequest();
+    while (request.starts_with("GET /v1/instances ")) {
+        connection.answer("503 No", "");
+        request = connection.readRequest();
+    }
+    return request;
+}
+
+PlatformRequest sampleWrite()
+{
+    return TableTransaction{{{RowKey("a"), RowVersion(3)}}, {{RowKey("a"), "x"}, {RowKey("b"), std::nullopt}}};
+}
+
+PlatformRequest sampleRead()
+{
+    return TableRead{{RowKey("a")}, {RowKey("later/")}, 10};
+}
+
+/** An answer to a request, and the kind of reply that it has to become. */
+struct ReplyCase {
+    PlatformRequest request;
+    std::string answer; ///< Raw bytes; the server closes the connection after them.
+    std::string reply; ///< As told by describe().
+};
+std::ostream &operator<<(std::ostream &out, const ReplyCase &replyCase)
+{
+    return out << replyCase.answer;
+}
+
+std::string describeRows(const char *name, const std::vector<TableRow> &rows)
+{
+    std::string text = name;
+    for (const TableRow &row : rows) {
+        text += ' ' + row.key.value + '=' + row.value + '@' + std::to_string(row.version.value);
+    }
+    return text;
+}
+
+std::string describe(const PlatformReply &reply)
+{
+    if (const auto *committed = std::get_if<Committed>(&reply)) {
+        return describeRows("committed", committed->rows);
+    }
+    if (const auto *failed = std::get_if<ConditionFailed>(&reply)) {
+        return describeRows("failed", failed->rows);
+    }
+    if (const auto *read = std::get_if<RowsRead>(&reply)) {
+        return describeRows("read", read->rows);
+    }
+    if (const auto *object = std::get_if<ObjectRead>(&reply)) {
+        return "object " + object->body.value_or("none");
+    }
+    if (const auto *unavailable = std::get_if<PlatformUnavailable>(&reply)) {
+        return unavailable->mayHaveTakenEffect ? "may have taken effect" : "no effect";
+    }
+    return "stored";
+}
+
+std::string answerText(const std::string &status, const std::string &body)
+{
+    return "HTTP/1.1 " + status + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+const std::string BothRows = R"({"rows":[{"key":"a","version":7},{"key":"b","version":8}]})";
+const ObjectPut SamplePut{ObjectName("n"), "body"};
+const ObjectGet SampleGet{ObjectName("n")};
+
+const ReplyCase ReplyCases[] = {
+    {sampleWrite(), answerText("200 OK", BothRows), "committed a=@7 b=@8"},
+    {sampleWrite(), answerText("200 OK", R"({"rows":[{"key":"a","version":7}]})"), "committed a=@7"},
+    {sampleWrite(), answerText("409 No", R"({"rows":[{"key":"a","value":"t","version":5}]})"), "failed a=t@5"},
+    {sampleWrite(), answerText("409 No", R"({"rows":[{"key":"a","value":null,"version":0}]})"), "failed a=@0"},
+    {sampleWrite(), answerText("400 No", "{}"), "no effect"},
+    {sampleWrite(), answerText("503 No", ""), "no effect"},
+    {sampleWrite(), answerText("500 No", ""), "may have taken effect"},
+    {sampleWrite(), "", "may have taken effect"}, // lost after the write
+    {sampleWrite(), answerText("200 OK", BothRows).substr(0, 60), "may have taken effect"}, // closed mid-answer
+    {sampleWrite(), "garbage\r\n\r\n", "may have taken effect"},
+    {sampleWrite(), answerText("200 OK", std::string(1001, ' ')), "may have taken effect"}, // over the limit
+    {sampleWrite(), answerText("200 OK", "{\"rows\":"), "may have taken effect"},
+    {sampleWrite(), answerText("200 OK", R"({"rows":[{"key":"a","version":-7}]})"), "may have taken effect"},
+    {sampleWrite(), answerText("200 OK", R"({"rows":[{"key":"b","version":7}]})"), "may have taken effect"}, // a is missing
+    {sampleWrite(), answerText("200 OK", R"({"rows":[{"key":"a","version":7},{"key":"c","version":8}]})"), "may have taken effect"},
+    {sampleWrite(), answerText("409 No", R"({"rows":[{"key":"a","value":"t","version":3}]})"), "may have taken effect"},
+    {sampleWrite(), answerText("409 No", R"({"rows":[]})"), "may have taken effect"},
+    {sampleRead(), answerText("200 OK", R"({"rows":[{"key":"a","value":"x","version":7}]})"), "read a=x@7"},
+    {sampleRead(), answerText("200 OK", R"({"rows":[{"key":"a","value":1,"version":7}]})"), "no effect"},
+    {sampleRead(), "", "no effect"},
+    {SamplePut, answerText("200 OK", ""), "stored"},
+    {SamplePut, answerText("503 No", ""), "no effect"},
+    {SamplePut, answerText("404 No", ""), "may have taken effect"},
+    {SamplePut, "", "may have taken effect"},
+    {SampleGet, answerText("200 OK", "body"), "object body"},
+    {SampleGet, answerText("404 No", ""), "object none"},
+    {SampleGet, answerText("500 No", ""), "no effect"},
+};
+
+const char *const ValidList = R"({"endpoints":[{"worker":"w1","rack":"r1","domain":"d1","address":"127.0.0.1:9001","slots":8,
+    "state":"leaving"}],"instances":[{"name":"e1","domain":"d1","peerAddress":"127.0.0.1:7001","state":"live"}]})";
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(AnswerGivesReply, boost::unit_test::data::make(ReplyCases), replyCase)
+{
+    TestServer server([&](ServerConnection &connection, int) {
+        if (!readTableRequest(connection).empty()) {
+            connection.send(replyCase.answer);
+        }
+    });
+    Rig rig(server.address());
+    rig.ask(5, replyCase.request);
+    const auto replied = rig.await<PlatformReplied>();
+    BOOST_TEST(replied.request.value == 5U);
+    BOOST_TEST(describe(replied.reply) == replyCase.reply);
+}
+
+BOOST_AUTO_TEST_CASE(RequestsFollowProtocol)
+{
+    const PlatformRequestFields fields{"127.0.0.1:1", "e1"};
+    const HttpRequest write = makePlatformRequest(sampleWrite(), fields).value();
+    BOOST_TEST(write.target() == "/v1/transact");
+    BOOST_TEST(write["Client-Instance"] == "e1");
+    BOOST_TEST(*write.body() == R"({"conditions":[{"key":"a","version":3}],"writes":[{"key":"a","value":"x"},{"key":"b","value":null}]})");
+    const HttpRequest read = makePlatformRequest(sampleRead(), fields).value();
+    BOOST_TEST(read.target() == "/v1/read");
+    BOOST_TEST(*read.body() == R"({"keys":["a"],"limit":10,"prefixes":["later/"]})");
+    const HttpRequest put = makePlatformRequest(ObjectPut{ObjectName("a/b c"), "body"}, fields).value();
+    BOOST_TEST(put.target() == "/v1/objects/a%2Fb%20c");
+    BOOST_TEST(*put.body() == "body");
+    BOOST_TEST(makePlatformRequest(TableRead{{RowKey("\xff")}, {}, 1}, fields).has_error());
+}
+
+BOOST_AUTO_TEST_CASE(RefusedConnectionHasNoEffect)
+{
+    NetAddress address;
+    {
+        TestServer server([](ServerConnection &, int) {});
+        address = server.address();
+    }
+    Rig rig(address);
+    rig.ask(1, sampleWrite());
+    BOOST_TEST(describe(rig.await<PlatformReplied>().reply) == "no effect");
+    BOOST_TEST(rig.isQuiet());
+}
+
+BOOST_AUTO_TEST_CASE(TimeoutEndsConnectionAndMayHaveTakenEffect)
+{
+    std::atomic<int> requests = 0;
+    TestServer server([&](ServerConnection &connection, int) {
+        if (readTableRequest(connection).empty()) {
+            return;
+        }
+        if (++requests == 1) {
+            std::this_thread::sleep_for(200ms); // the late answer
+            connection.answer("200 OK", "late");
+            connection.awaitClose();
+            return;
+        }
+        connection.answer("200 OK", "own");
+        connection.awaitClose();
+    });
+    Rig rig(server.address(), NoListing, 1);
+    rig.ask(1, SamplePut, 100ms);
+    rig.ask(2, SamplePut, 50ms); // waits for the only connection
+    const auto waiting = rig.await<PlatformReplied>();
+    BOOST_TEST(waiting.request.value == 2U);
+    BOOST_TEST(describe(waiting.reply) == "no effect");
+    const auto late = rig.await<PlatformReplied>();
+    BOOST_TEST(late.request.value == 1U);
+    BOOST_TEST(describe(late.reply) == "may have taken effect");
+    rig.ask(3, SampleGet);
+    BOOST_TEST(describe(rig.await<PlatformReplied>().reply) == "object own");
+    BOOST_TEST(rig.isQuiet());
+}
+
+BOOST_AUTO_TEST_CASE(ConnectionsPersist)
+{
+    TestServer server([&](ServerConnection &connection, int) {
+        while (!readTableRequest(connection).empty()) {
+            connection.answer("404 No", "");
+        }
+    });
+    Rig rig(server.address());
+    for (std::uint64_t id = 1; id <= 5; ++id) {
+        rig.ask(id, SampleGet);
+        BOOST_TEST(describe(rig.await<PlatformReplied>().reply) == "object none");
+    }
+    BOOST_TEST(server.accepted <= 2); // one of them for the instance list
+}
+
+BOOST_AUTO_TEST_CASE(OnlyWholeListsArePushed)
+{
+    const std::string bodies[] = {"{\"endpoints\":[]", ValidList, "", ValidList};
+    std::atomic<std::size_t> served = 0;
+    TestServer server([&](ServerConnection &connection, int) {
+        while (!connection.readRequest().empty()) {
+            const std::size_t number = served++;
+            if (number < std::size(bodies)) {
+                connection.answer("200 OK", bodies[number]);
+            }
+        }
+    });
+    Rig rig(server.address(), 20ms);
+    for (const std::uint64_t failures : {1U, 2U}) {
+        const InstanceList list = rig.await<InstancesListed>().list;
+        BOOST_TEST(rig.client->listFailures() == failures);
+        BOOST_REQUIRE(list.endpoints.size() == 1U);
+        BOOST_TEST((list.endpoints[0].state == ListedState::Leaving));
+        BOOST_TEST(list.endpoints[0].slots == 8U);
+        BOOST_TEST(list.instances[0].peerAddress.value == "127.0.0.1:7001");
+    }
+    BOOST_TEST(rig.isQuiet());
+    std::this_thread::sleep_for(400ms); // unanswered reads time out and go on
+    BOOST_TEST(rig.client->listFailures() >= 3U);
+    rig.client->close();
+}
+
+BOOST_AUTO_TEST_CASE(ListWithABadEntryIsRefused)
+{
+    const std::string valid = ValidList;
+    BOOST_TEST(instanceListFromJson(valid).has_value());
+    for (const auto &[part, bad] :
+         {std::pair("\"live\"", "\"gone\""), std::pair("127.0.0.1:7001", "host:7001"), std::pair("\"w1\"", "\"\""),
+          std::pair("\"slots\":8", "\"slots\":-8"), std::pair("\"domain\"", "\"zone\"")}) {
+        std::string broken = valid;
+        broken.replace(broken.find(part), std::string_view(part).size(), bad);
+        BOOST_TEST(instanceListFromJson(broken).has_error(), bad);
+    }
+}
