--- a/src/caller/tests/fake_decisions.h
+++ b/src/caller/tests/fake_decisions.h
@@ -5,6 +5,7 @@
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/read.hpp>
--- /dev/null
+++ b/src/caller/tests/limits_test.cpp
@@ -0,0 +1,194 @@
+#include "caller/http_gate.h"
+#include "caller/tests/service_fixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Tanagertally;
+using namespace Tanagertally::Testing;
+using std::chrono::milliseconds;
+
+namespace {
+
+CallerServiceOptions withLimits(const HttpLimits &limits)
+{
+    return CallerServiceOptions{{}, {}, limits};
+}
+
+/** Check a refusal that the server makes by itself, and that it ends the connection. */
+void checkLastRefusal(Client &client, unsigned status, const std::string &code)
+{
+    const Response refused = client.reply();
+    BOOST_TEST(refused.result_int() == status);
+    BOOST_TEST(refused["Connection"] == "close");
+    BOOST_TEST(Json::parse(refused.body())["code"] == code);
+    BOOST_TEST(!Json::parse(refused.body()).contains("verdict"));
+    BOOST_TEST(client.isAtEnd());
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Limits)
+
+BOOST_AUTO_TEST_CASE(LongHeadersAreRefused)
+{
+    RunningService running;
+    Client fits(running.address());
+    BOOST_TEST(fits.call("GET /healthz", {}, "X-Long: " + std::string(7000, 'a') + "\r\n").result_int() == 200U);
+    Client tooLong(running.address());
+    tooLong.request("GET /healthz", {}, "X-Long: " + std::string(9000, 'a') + "\r\n");
+    checkLastRefusal(tooLong, 431, "bad-input");
+    Client endless(running.address());
+    endless.send("GET /" + std::string(9000, 'a'));
+    checkLastRefusal(endless, 431, "bad-input");
+}
+
+BOOST_AUTO_TEST_CASE(LongBodiesAreRefusedBeforeTheyCome)
+{
+    HttpLimits limits;
+    limits.maxBodyBytes = 1000;
+    RunningService running(withLimits(limits));
+    Client declared(running.address());
+    declared.send("POST /v1/jobs HTTP/1.1\r\nHost: a\r\nContent-Length: 1001\r\n\r\n");
+    checkLastRefusal(declared, 413, "bad-input");
+    Client chunked(running.address());
+    chunked.send("POST /v1/jobs HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n7d0\r\n" + std::string(2000, ' '));
+    checkLastRefusal(chunked, 413, "bad-input");
+    Client fits(running.address());
+    BOOST_TEST(fits.call("POST /v1/jobs", std::string(1000, ' ')).result_int() == 400U);
+}
+
+BOOST_AUTO_TEST_CASE(MalformedRequestsAreRefused)
+{
+    RunningService running;
+    for (const char *text : {"\x16\x03\x01 hello\r\n\r\n", "GET / HTTP/3.0\r\n\r\n", "GET /healthz HTTP/1.1\r\nBad Header: 1\r\n\r\n",
+                             "POST /v1/jobs HTTP/1.1\r\nContent-Length: x\r\n\r\n"}) {
+        Client client(running.address());
+        client.send(text);
+        checkLastRefusal(client, 400, "bad-input");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(SlowSendersAreRefused)
+{
+    HttpLimits limits;
+    limits.headerTimeout = milliseconds(150);
+    limits.bodyTimeout = milliseconds(150);
+    RunningService running(withLimits(limits));
+    Client slowHeader(running.address());
+    Client slowBody(running.address());
+    slowHeader.send("GET /heal");
+    slowBody.send("POST /v1/jobs HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\n{");
+    // One more byte now and then doesn't move the deadline.
+    std::jthread trickle([&](std::stop_token stop) {
+        boost::system::error_code error;
+        while (!stop.stop_requested() && !error) {
+            std::this_thread::sleep_for(milliseconds(40));
+            boost::asio::write(slowBody.socket, boost::asio::buffer(" ", 1), error);
+        }
+    });
+    checkLastRefusal(slowHeader, 408, "deadline-exceeded");
+    checkLastRefusal(slowBody, 408, "deadline-exceeded");
+    trickle.request_stop();
+    trickle.join();
+    Client idle(running.address());
+    std::this_thread::sleep_for(milliseconds(250));
+    BOOST_TEST(idle.call("GET /healthz").result_int() == 200U);
+}
+
+BOOST_AUTO_TEST_CASE(IdleConnectionsAreClosed)
+{
+    HttpLimits limits;
+    limits.idleTimeout = milliseconds(100);
+    RunningService running(withLimits(limits));
+    Client client(running.address());
+    client.call("GET /healthz");
+    BOOST_TEST(client.isAtEnd());
+}
+
+BOOST_AUTO_TEST_CASE(ConnectionsAreLimitedInAllAndByAddress)
+{
+    HttpLimits limits;
+    limits.maxConnections = 2;
+    RunningService total(withLimits(limits));
+    {
+        Client first(total.address());
+        Client second(total.address());
+        BOOST_TEST(first.call("GET /healthz").result_int() == 200U);
+        BOOST_TEST(second.call("GET /healthz").result_int() == 200U);
+        Client third(total.address());
+        const Response refused = third.reply();
+        BOOST_TEST(refused.result_int() == 503U);
+        BOOST_TEST(refused["Retry-After"] == "1");
+    }
+    limits.maxConnections = 100;
+    limits.maxConnectionsPerAddress = 1;
+    RunningService byAddress(withLimits(limits));
+    {
+        Client first(byAddress.address());
+        BOOST_TEST(first.call("GET /healthz").result_int() == 200U);
+        Client second(byAddress.address());
+        checkLastRefusal(second, 429, "quota-exceeded");
+    }
+    // A connection that closes makes room for another.
+    bool hasRoom = false;
+    for (int attempt = 0; attempt < 100 && !hasRoom; ++attempt) {
+        Client later(byAddress.address());
+        hasRoom = later.call("GET /healthz").result_int() == 200U;
+        std::this_thread::sleep_for(milliseconds(10));
+    }
+    BOOST_TEST(hasRoom);
+}
+
+BOOST_AUTO_TEST_CASE(RequestsAreLimitedByRate)
+{
+    HttpLimits limits;
+    limits.maxRequestRatePerAddress = 0.5;
+    limits.requestBurstPerAddress = 3;
+    RunningService running(withLimits(limits));
+    Client client(running.address());
+    for (int request = 0; request < 3; ++request) {
+        BOOST_TEST(client.call("GET /healthz").result_int() == 200U);
+    }
+    const Response refused = client.call("GET /healthz");
+    BOOST_TEST(refused.result_int() == 429U);
+    BOOST_TEST(refused["Retry-After"] == "2");
+    BOOST_TEST(refused["Connection"] != "close");
+}
+
+BOOST_AUTO_TEST_CASE(RatesRefillWithTime)
+{
+    HttpLimits limits;
+    limits.maxRequestRatePerAddress = 10;
+    limits.requestBurstPerAddress = 1;
+    const auto gate = std::make_shared<HttpGate>(limits);
+    const auto remote = boost::asio::ip::make_address("192.0.2.1");
+    const std::chrono::steady_clock::time_point start;
+    BOOST_TEST(gate->admitRequest(remote, start));
+    BOOST_TEST(!gate->admitRequest(remote, start + milliseconds(50)));
+    BOOST_TEST(gate->admitRequest(boost::asio::ip::make_address("192.0.2.2"), start + milliseconds(50)));
+    BOOST_TEST(gate->admitRequest(remote, start + milliseconds(110)));
+}
+
+BOOST_AUTO_TEST_CASE(ExpectContinueAndOldHttpAreServed)
+{
+    RunningService running;
+    Client client(running.address());
+    const std::string body = R"({"tasks":[{"kind":"lookup","payload":1}]})";
+    client.send("POST /v1/jobs HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n");
+    BOOST_TEST(client.reply().result_int() == 100U);
+    client.send(body);
+    BOOST_TEST(client.reply().result_int() == 200U);
+    Client old(running.address());
+    old.send("GET /healthz HTTP/1.0\r\n\r\n");
+    BOOST_TEST(old.reply().result_int() == 200U);
+    BOOST_TEST(old.isAtEnd());
+    Client head(running.address());
+    head.send("HEAD /healthz HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    std::string text(1000, ' ');
+    boost::system::error_code end;
+    text.resize(boost::asio::read(head.socket, boost::asio::buffer(text), end));
+    BOOST_TEST(text.ends_with("\r\n\r\n"));
+    BOOST_TEST(text.find("Content-Length: 16") != std::string::npos, text);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
