--- /dev/null
+++ b/src/peer/tests/message_generator.h
@@ -0,0 +1,165 @@
+/** Random peer messages, and their comparison field by field, from the one description of their fields. */
+#pragma once
+
+#include "peer/peer_fields.h"
+
+#include <rapidcheck.h>
+
+namespace Tanagertally::PeerTests {
+
+/** Fills every field of a structure with a random value. */
+class FieldGenerator
+{
+public:
+    template<typename T>
+    void operator()(std::string_view /*name*/, T &value)
+    {
+        fill(value);
+    }
+    template<typename T>
+    void operator()(std::string_view /*name*/, std::vector<T> &values, PeerFields::Bounds bounds)
+    {
+        values.resize(*rc::gen::inRange<std::size_t>(bounds.least, 5));
+        for (T &value : values) {
+            fill(value);
+        }
+    }
+    void operator()(std::string_view /*name*/, Payload &value, PeerFields::Presence presence)
+    {
+        if (presence == PeerFields::Presence::Required || *rc::gen::arbitrary<bool>()) {
+            value = std::make_shared<const std::string>(*rc::gen::arbitrary<std::string>());
+        }
+    }
+    template<typename Variant, std::size_t Index = 0>
+    static Variant pick(std::size_t index)
+    {
+        if constexpr (Index + 1 < std::variant_size_v<Variant>) {
+            if (index != Index) {
+                return pick<Variant, Index + 1>(index);
+            }
+        }
+        Variant result(std::in_place_index<Index>);
+        FieldGenerator fields;
+        PeerFields::describe(fields, std::get<Index>(result));
+        return result;
+    }
+
+private:
+    template<typename T>
+    static void fill(T &value)
+    {
+        if constexpr (std::is_floating_point_v<T>) {
+            value = *rc::gen::inRange(-1'000'000, 1'000'000) / 1024.0;
+        } else if constexpr (std::is_enum_v<T>) {
+            value = static_cast<T>(*rc::gen::inRange(0, static_cast<int>(PeerFields::Last<T>) + 1));
+        } else if constexpr (std::is_arithmetic_v<T> || std::is_same_v<T, std::string>) {
+            value = *rc::gen::arbitrary<T>();
+        } else {
+            FieldGenerator fields;
+            PeerFields::describe(fields, value);
+        }
+    }
+    template<typename Tag, typename Rep>
+    static void fill(StrongInt<Tag, Rep> &value)
+    {
+        value.value = *rc::gen::arbitrary<Rep>();
+    }
+    template<typename Tag>
+    static void fill(StrongString<Tag> &value)
+    {
+        value.value = *rc::gen::arbitrary<std::string>();
+    }
+    static void fill(Duration &value)
+    {
+        value = Duration(*rc::gen::arbitrary<std::int64_t>());
+    }
+    static void fill(std::optional<Duration> &value)
+    {
+        if (*rc::gen::arbitrary<bool>()) {
+            fill(value.emplace());
+        }
+    }
+    static void fill(CallerReply &value)
+    {
+        value = pick<CallerReply>(*rc::gen::inRange<std::size_t>(0, std::variant_size_v<CallerReply>));
+    }
+};
+
+/** Writes every field as text, so that two values can be compared without the codec. */
+class FieldPrinter
+{
+public:
+    std::string text; ///< What was written.
+
+    template<typename T>
+    void operator()(std::string_view name, const T &value)
+    {
+        this->text += std::string(name) + "=";
+        this->print(value);
+        this->text += ";";
+    }
+    template<typename T>
+    void operator()(std::string_view name, const std::vector<T> &values, PeerFields::Bounds /*bounds*/)
+    {
+        this->text += std::string(name) + "[" + std::to_string(values.size()) + "]";
+        for (const T &value : values) {
+            (*this)("", value);
+        }
+    }
+    void operator()(std::string_view name, const Payload &value, PeerFields::Presence /*presence*/)
+    {
+        (*this)(name, value ? "text " + *value : std::string("null"));
+    }
+    template<typename... Ts>
+    void print(const std::variant<Ts...> &value)
+    {
+        this->text += std::to_string(value.index()) + "{";
+        std::visit([this](const auto &alternative) { PeerFields::describe(*this, alternative); }, value);
+        this->text += "}";
+    }
+
+private:
+    template<typename T>
+    void print(const T &value)
+    {
+        if constexpr (std::is_same_v<T, std::string>) {
+            this->text += value;
+        } else if constexpr (std::is_enum_v<T>) {
+            this->text += std::to_string(static_cast<int>(value));
+        } else if constexpr (std::is_arithmetic_v<T>) {
+            this->text += std::to_string(value);
+        } else {
+            this->text += "{";
+            PeerFields::describe(*this, value);
+            this->text += "}";
+        }
+    }
+    template<typename Tag, typename Rep>
+    void print(const StrongInt<Tag, Rep> &value)
+    {
+        this->print(value.value);
+    }
+    template<typename Tag>
+    void print(const StrongString<Tag> &value)
+    {
+        this->print(value.value);
+    }
+    void print(const Duration &value)
+    {
+        this->print(value.count());
+    }
+    void print(const std::optional<Duration> &value)
+    {
+        this->print(value ? std::to_string(value->count()) : std::string("none"));
+    }
+};
+
+/** @return A message as text. */
+inline std::string toText(const PeerMessage &message)
+{
+    FieldPrinter printer;
+    printer.print(message);
+    return printer.text;
+}
+
+} // namespace Tanagertally::PeerTests
