Fix: a fetch that waits for a job whose acceptance fails got no reply

Change: forgetting a job refuses every call that waits for it. Session links: a message into a cut breaks the link, as a byte stream would, instead of vanishing from a link that stays up.

--- a/bench/session/session.h
+++ b/bench/session/session.h
@@ -245,6 +245,7 @@
     bool canReach(std::uint32_t from, std::uint32_t to) const;
     void tryOpen(std::uint32_t from, std::uint32_t to, bool standing);
     void closeLink(PeerId id);
+    void doom(Link &link, PeerId id);
     void checkLinks();
     Duration linkDelay(std::uint32_t from, std::uint32_t to) const;
     std::size_t newCall(std::uint32_t instance, const TeamName &team, const JobKey &key);
--- a/bench/session/session_links.cpp
+++ b/bench/session/session_links.cpp
@@ -131,14 +131,22 @@
     this->deliver(link.second, link.secondLife, PeerDown{id});
 }
 
+void Session::doom(Link &link, PeerId id)
+{
+    if (link.closing) {
+        return;
+    }
+    link.closing = true;
+    this->schedule(this->options.delays.peerSilence, [this, id] { this->closeLink(id); });
+}
+
 void Session::checkLinks()
 {
     for (auto &[id, link] : this->links) {
         const bool silent = !this->canReach(link.first, link.second) || !this->canReach(link.second, link.first);
         const bool frozen = this->instances[link.first].paused || this->instances[link.second].paused;
-        if ((silent || frozen) && !link.closing) {
-            link.closing = true;
-            this->schedule(this->options.delays.peerSilence, [this, closing = id] { this->closeLink(closing); });
+        if (silent || frozen) {
+            this->doom(link, id);
         }
     }
     for (std::uint32_t from = 0; from < this->instances.size(); ++from) {
@@ -159,9 +167,13 @@
     }
     ++this->peerMessageCount;
     const Link &link = found->second;
+    if (link.closing) {
+        return;
+    }
     const std::uint32_t to = link.first == instance ? link.second : link.first;
     const std::uint64_t life = link.first == instance ? link.secondLife : link.firstLife;
     if (!this->canReach(instance, to)) {
+        this->doom(found->second, action.peer);
         return;
     }
     this->schedule(this->linkDelay(instance, to), [this, to, life, id = action.peer, message = std::move(action.message)] {
--- a/src/controllers/durable_controller.cpp
+++ b/src/controllers/durable_controller.cpp
@@ -17,6 +17,12 @@
     return failed == nullptr ? std::vector<TableRow>() : failed->rows;
 }
 
+/** @return A refusal after which coming back helps, without certainty that nothing ran. */
+Refusal refusalOf(ErrorCode code, std::string message)
+{
+    return Refusal{makeError(code, std::move(message)), Verdict::MayHaveRun, ComeBack};
+}
+
 RowVersion versionOf(const std::vector<TableRow> &rows, const RowKey &key)
 {
     for (const TableRow &row : rows) {
@@ -56,7 +62,7 @@
     return found == this->durables.end() ? nullptr : &found->second;
 }
 
-void DurableController::accept(NewJob job, const ReplyTarget &target, ClaimController::Handler elsewhere)
+void DurableController::accept(NewJob job, const ReplyTarget &target, ElsewhereHandler elsewhere)
 {
     job.authority = StartAuthority::DurableClaim;
     JobRecord &record = this->jobs.add(std::move(job));
@@ -83,9 +89,7 @@
             this->insert(job);
             return;
         }
-        const bool issued = hasIssuedForm(stored->row.key);
-        this->refuseAll(*stored, "the platform's object store can't be reached", issued ? Verdict::NotRun : Verdict::MayHaveRun);
-        this->forget(job);
+        this->notAccepted(job, "the platform's object store can't be reached");
     });
 }
 
@@ -120,12 +124,10 @@
     }
     const auto &unavailable = std::get<PlatformUnavailable>(result);
     if (!unavailable.mayHaveTakenEffect) {
-        const bool issued = hasIssuedForm(durable->row.key);
-        this->refuseAll(*durable, unavailable.message, issued ? Verdict::NotRun : Verdict::MayHaveRun);
-        this->forget(job);
+        this->notAccepted(job, unavailable.message);
         return;
     }
-    this->refuseAll(*durable, "the platform did not confirm the write", Verdict::MayHaveRun);
+    this->refuseAccept(*durable, refusalOf(ErrorCode::Unavailable, "the platform did not confirm the write"));
     this->retries.add(this->board.now, Retry{job, Step::Insert});
 }
 
@@ -160,9 +162,13 @@
             outcome = ClaimElsewhere{claim.value(), row.version};
         }
     }
-    const ClaimController::Handler elsewhere = durable.elsewhere;
-    this->forget(job);
-    elsewhere(outcome);
+    const ElsewhereHandler elsewhere = durable.elsewhere;
+    std::vector<ReplyTarget> targets;
+    targets.swap(durable.acceptWaiters);
+    this->forget(job, refusalOf(ErrorCode::HomeUnreachable, "another instance holds the key; ask again"));
+    for (const ReplyTarget &target : targets) {
+        elsewhere(outcome, target);
+    }
 }
 
 void DurableController::readBack(JobId job)
@@ -217,19 +223,33 @@
     durable->acceptWaiters.push_back(target);
 }
 
-void DurableController::refuseAll(Durable &durable, const std::string &message, Verdict verdict)
+void DurableController::refuseAccept(Durable &durable, const Refusal &refusal)
 {
     std::vector<ReplyTarget> waiters;
     waiters.swap(durable.acceptWaiters);
     for (const ReplyTarget &target : waiters) {
-        this->replies.refuse(target, makeError(ErrorCode::Unavailable, message), verdict, ComeBack);
+        this->replies.refuse(target, refusal.error, refusal.verdict, refusal.retryAfter);
     }
 }
 
-void DurableController::forget(JobId job)
+void DurableController::notAccepted(JobId job, const std::string &message)
+{
+    Refusal refusal = refusalOf(ErrorCode::Unavailable, message);
+    refusal.verdict = hasIssuedForm(this->durables.at(job).row.key) ? Verdict::NotRun : Verdict::MayHaveRun;
+    this->forget(job, refusal);
+}
+
+void DurableController::lost(JobId job)
+{
+    this->outbox.log("job-lost", {{"key", this->durables.at(job).row.key.value}});
+    this->forget(job, refusalOf(ErrorCode::HomeUnreachable, "another instance took the job over"));
+}
+
+void DurableController::forget(JobId job, const Refusal &refusal)
 {
+    this->refuseAccept(this->durables.at(job), refusal);
     this->durables.erase(job);
-    this->jobs.discard(job);
+    this->jobs.discard(job, refusal);
 }
 
 void DurableController::settle()
@@ -282,8 +302,7 @@
     } else {
         const RowVersion own = this->ownVersion(*durable, rowsIn(result));
         if (own == RowVersion()) {
-            this->outbox.log("job-lost", {{"key", durable->row.key.value}});
-            this->forget(job);
+            this->lost(job);
             return;
         }
         durable->rowVersion = own;
@@ -362,8 +381,7 @@
         const std::vector<TableRow> rows = rowsIn(result);
         const RowVersion own = this->ownVersion(*durable, rows);
         if (own == RowVersion()) {
-            this->outbox.log("job-lost", {{"key", durable->row.key.value}});
-            this->forget(job);
+            this->lost(job);
             return;
         }
         durable->rowVersion = own;
@@ -393,8 +411,11 @@
     op.done = [this, id, rowKey](const CommitResult &result) {
         const auto *committed = std::get_if<Committed>(&result);
         JobRecord *job = this->board.jobs.find(id);
-        if (committed == nullptr || job == nullptr) {
-            this->forget(id);
+        if (job == nullptr) {
+            return;
+        }
+        if (committed == nullptr) {
+            this->lost(id);
             return;
         }
         Durable &taken = this->durables.at(id);
--- a/src/controllers/durable_controller.h
+++ b/src/controllers/durable_controller.h
@@ -20,6 +20,9 @@
 class DurableController
 {
 public:
+    /** Called with each call that awaits the acceptance, if another incarnation holds the key. */
+    using ElsewhereHandler = std::function<void(const ClaimOutcome &, const ReplyTarget &)>;
+
     /** The references must outlive this object. */
     DurableController(Blackboard &board, Outbox &outbox, PlatformCalls &platform, GroupCommit &commits, ClaimController &claims,
                       JobController &jobs, ReplySender &replies, StartLease &lease);
@@ -30,7 +33,7 @@
      * @param target Who gets the acceptance or the refusal.
      * @param elsewhere Called instead of a reply if another incarnation holds the key; the job is forgotten then.
      */
-    void accept(NewJob job, const ReplyTarget &target, ClaimController::Handler elsewhere);
+    void accept(NewJob job, const ReplyTarget &target, ElsewhereHandler elsewhere);
 
     /** Reply to a resubmission of a durable job in the way that its caller wants. */
     void reply(JobRecord &job, SubmitMode mode, const ReplyTarget &target);
@@ -58,7 +61,7 @@
         std::shared_ptr<const JobAnswer> answer; ///< Answer to be recorded; null until there is one.
         bool answerStored = false; ///< Whether the answer's object is written.
         std::vector<ReplyTarget> acceptWaiters; ///< Calls that await the acceptance.
-        ClaimController::Handler elsewhere; ///< Called if another incarnation holds the key.
+        ElsewhereHandler elsewhere; ///< Called if another incarnation holds the key.
     };
 
     /** What is tried again after the platform was out of reach. */
@@ -81,8 +84,10 @@
     void insertSeen(JobId job, const std::vector<TableRow> &rows);
     void readBack(JobId job);
     void accepted(JobId job, RowVersion rowVersion);
-    void refuseAll(Durable &durable, const std::string &message, Verdict verdict);
-    void forget(JobId job);
+    void refuseAccept(Durable &durable, const Refusal &refusal);
+    void notAccepted(JobId job, const std::string &message);
+    void lost(JobId job);
+    void forget(JobId job, const Refusal &refusal);
     void moveMark(JobRecord &job, Durable &durable);
     void marked(JobId job, std::uint32_t mark, const CommitResult &result);
     void recordAnswer(JobId job);
--- a/src/controllers/job_controller.cpp
+++ b/src/controllers/job_controller.cpp
@@ -111,7 +111,7 @@
     }
 }
 
-void JobController::discard(JobId job)
+void JobController::discard(JobId job, const Refusal &refusal)
 {
     JobRecord *record = this->board.jobs.find(job);
     if (record == nullptr) {
@@ -119,7 +119,12 @@
     }
     failJob(this->board, *record, ErrorCode::HomeLost, "another instance took the job over");
     this->unansweredCount -= record->answer == nullptr ? 1 : 0;
+    std::vector<ReplyTarget> waiters;
+    waiters.swap(record->waiters);
     this->board.jobs.remove(job);
+    for (const ReplyTarget &target : waiters) {
+        this->replies.refuse(target, refusal.error, refusal.verdict, refusal.retryAfter);
+    }
 }
 
 bool JobController::isDone(const JobRecord &job) const
--- a/src/controllers/job_controller.h
+++ b/src/controllers/job_controller.h
@@ -51,8 +51,12 @@
     /** Cancel a job; nothing happens if it is answered. */
     void cancel(JobRecord &job);
 
-    /** Forget a job without answering it. */
-    void discard(JobId job);
+    /**
+     * Forget a job without answering it.
+     * @param job The job.
+     * @param refusal What all who wait for its answer are told.
+     */
+    void discard(JobId job, const Refusal &refusal);
 
     /** Answer the jobs that were touched by the present event. */
     void settle();
--- a/src/controllers/request_controller.cpp
+++ b/src/controllers/request_controller.cpp
@@ -146,12 +146,14 @@
 {
     const ReplyTarget target = submission.target;
     NewJob job{submission.key, submission.team, submission.job, StartAuthority::DurableClaim};
-    this->durables.accept(std::move(job), target, [this, submission](const ClaimOutcome &outcome) {
+    this->durables.accept(std::move(job), target, [this, submission](const ClaimOutcome &outcome, const ReplyTarget &waiting) {
+        Submission again = submission;
+        again.target = waiting;
         if (const auto *elsewhere = std::get_if<ClaimElsewhere>(&outcome)) {
-            this->ownKeyElsewhere(submission, *elsewhere);
+            this->ownKeyElsewhere(std::move(again), *elsewhere);
             return;
         }
-        this->replies.refuse(submission.target, makeError(ErrorCode::Conflict, "the key is in use", "key"), Verdict::MayHaveRun, ComeBack);
+        this->replies.refuse(waiting, makeError(ErrorCode::Conflict, "the key is in use", "key"), Verdict::MayHaveRun, ComeBack);
     });
 }
 
