A durable job is found although the issuer of its key is dead

Cause: a question under an issued key went to the key's issuer only; after its death the caller heard home-unreachable although another instance had adopted the job. Change: when a home can't be reached, the claim row is looked at once before the caller is refused. Test: AdoptedJobUnderAnIssuedKeyIsFoundAlthoughItsIssuerIsDead. Also linter findings.

--- a/bench/session/session.h
+++ b/bench/session/session.h
@@ -240,7 +240,7 @@
     void readList(std::uint32_t instance, std::uint64_t life);
     InstanceList currentList() const;
     void recordList();
-    void arrive(std::size_t flight, JobKey key, std::uint32_t task, KindName kind, Payload payload);
+    void arrive(std::size_t flight, const StartAttempt &start);
     void endAttempt(std::size_t flight, AttemptOutcome outcome, Payload output, std::string error, Duration roundTrip);
     bool canReach(std::uint32_t from, std::uint32_t to) const;
     void tryOpen(std::uint32_t from, std::uint32_t to, bool standing);
--- a/bench/session/session_endpoints.cpp
+++ b/bench/session/session_endpoints.cpp
@@ -12,8 +12,8 @@
 
 void Session::setEndpoint(std::uint32_t worker, EndpointMode mode)
 {
-    constexpr std::array<std::string_view, 6> names = {"normal", "fails-all", "refusing", "dead", "silent-connections", "silent"};
-    this->trace(fmt::format("fault: w{} {}", worker, names.at(static_cast<std::size_t>(mode))));
+    constexpr std::array<std::string_view, 6> Names = {"normal", "fails-all", "refusing", "dead", "silent-connections", "silent"};
+    this->trace(fmt::format("fault: w{} {}", worker, Names.at(static_cast<std::size_t>(mode))));
     this->workers[worker].mode = mode;
     this->recordList();
     if (mode != EndpointMode::Dead) {
@@ -53,13 +53,14 @@
     this->flights.push_back(Flight{instance, one.life, action.attempt, worker, false, false});
     one.attempts[action.attempt] = flight;
     this->trace(fmt::format("e{} starts {}#{} {} on w{}", instance, action.key.value, action.task, action.kind.value, worker));
-    this->schedule(this->options.delays.withinDomain, [this, flight, start = std::move(action)]() mutable {
-        this->arrive(flight, std::move(start.key), start.task, std::move(start.kind), std::move(start.payload));
-    });
+    this->schedule(this->options.delays.withinDomain, [this, flight, start = std::move(action)] { this->arrive(flight, start); });
 }
 
-void Session::arrive(std::size_t flight, JobKey key, std::uint32_t task, KindName kind, Payload payload)
+void Session::arrive(std::size_t flight, const StartAttempt &start)
 {
+    const JobKey &key = start.key;
+    const std::uint32_t task = start.task;
+    const KindName &kind = start.kind;
     Flight &one = this->flights[flight];
     if (one.ended) {
         return;
@@ -84,7 +85,7 @@
                                           this->instances[one.instance].identity.incarnation});
     ++worker.running;
     const bool fails = worker.mode == EndpointMode::FailsAll;
-    const bool poisoned = *payload == "\"poison\"";
+    const bool poisoned = *start.payload == "\"poison\"";
     const Duration drawn = std::chrono::duration_cast<Duration>(this->options.runTime(kind, this->random) * worker.slowness);
     const Duration runTime = fails ? FailingRunTime : drawn;
     this->schedule(runTime, [this, flight, fails, poisoned, runTime, back, key, task] {
--- a/bench/session/session_links.cpp
+++ b/bench/session/session_links.cpp
@@ -50,8 +50,8 @@
 
 void Session::setPlatform(PlatformMode mode)
 {
-    constexpr std::array<std::string_view, 4> names = {"normal", "refusing", "silent", "loses-answers"};
-    this->trace(fmt::format("fault: platform {}", names.at(static_cast<std::size_t>(mode))));
+    constexpr std::array<std::string_view, 4> Names = {"normal", "refusing", "silent", "loses-answers"};
+    this->trace(fmt::format("fault: platform {}", Names.at(static_cast<std::size_t>(mode))));
     this->platformMode = mode;
 }
 
--- a/src/controllers/coordinator.cpp
+++ b/src/controllers/coordinator.cpp
@@ -211,13 +211,13 @@
 void CoordinatorImpl::on(JobFetched &event)
 {
     const JobQuestion::Kind kind = event.wait ? JobQuestion::Kind::Answer : JobQuestion::Kind::State;
-    this->requests.ask(JobQuestion{event.request, RequestOrigin::Caller, std::move(event.team), std::move(event.key), kind});
+    this->requests.ask(JobQuestion{event.request, RequestOrigin::Caller, std::move(event.team), std::move(event.key), kind, false});
 }
 
 void CoordinatorImpl::on(JobCancelled &event)
 {
     this->requests.ask(
-        JobQuestion{event.request, RequestOrigin::Caller, std::move(event.team), std::move(event.key), JobQuestion::Kind::Cancel});
+        JobQuestion{event.request, RequestOrigin::Caller, std::move(event.team), std::move(event.key), JobQuestion::Kind::Cancel, false});
 }
 
 void CoordinatorImpl::on(CallerGone & /*event*/)
@@ -301,14 +301,14 @@
 {
     const JobQuestion::Kind kind = message.wait ? JobQuestion::Kind::Answer : JobQuestion::Kind::State;
     const PeerReplyTarget target{peer.id, message.id};
-    this->requests.ask(JobQuestion{target, RequestOrigin::Peer, std::move(message.team), std::move(message.key), kind});
+    this->requests.ask(JobQuestion{target, RequestOrigin::Peer, std::move(message.team), std::move(message.key), kind, false});
 }
 
 void CoordinatorImpl::onMessage(PeerRecord &peer, ForwardedCancel &message)
 {
     const PeerReplyTarget target{peer.id, message.id};
     this->requests.ask(
-        JobQuestion{target, RequestOrigin::Peer, std::move(message.team), std::move(message.key), JobQuestion::Kind::Cancel});
+        JobQuestion{target, RequestOrigin::Peer, std::move(message.team), std::move(message.key), JobQuestion::Kind::Cancel, false});
 }
 
 void CoordinatorImpl::onMessage(PeerRecord & /*peer*/, ForwardedReply &message)
--- a/src/controllers/drain_controller.cpp
+++ b/src/controllers/drain_controller.cpp
@@ -13,8 +13,8 @@
 
 RowKey drainRowKey(DrainScope scope, std::string_view name)
 {
-    constexpr std::array<std::string_view, 4> names = {"worker", "rack", "domain", "instance"};
-    return RowKey(fmt::format("{}{}/{}", DrainPrefix, names.at(static_cast<std::size_t>(scope)), name));
+    constexpr std::array<std::string_view, 4> Names = {"worker", "rack", "domain", "instance"};
+    return RowKey(fmt::format("{}{}/{}", DrainPrefix, Names.at(static_cast<std::size_t>(scope)), name));
 }
 
 } // namespace
--- a/src/controllers/durable_controller.cpp
+++ b/src/controllers/durable_controller.cpp
@@ -393,7 +393,7 @@
     this->jobs.publish(*this->board.jobs.find(job), answer);
 }
 
-void DurableController::adopt(AdoptedJob adopted)
+void DurableController::adopt(const AdoptedJob &adopted)
 {
     const TeamKey name{adopted.row.team, adopted.row.key};
     JobRecord &record = this->jobs.add(NewJob{adopted.row.key, adopted.row.team, adopted.spec, StartAuthority::DurableClaim});
--- a/src/controllers/durable_controller.h
+++ b/src/controllers/durable_controller.h
@@ -39,7 +39,7 @@
     void reply(JobRecord &job, SubmitMode mode, const ReplyTarget &target);
 
     /** Take a job over from its fenced home. @pre No job of its key is held. */
-    void adopt(AdoptedJob adopted);
+    void adopt(const AdoptedJob &adopted);
 
     /** Move high-water marks ahead where few startable tasks are left. */
     void settle();
--- a/src/controllers/forward_controller.cpp
+++ b/src/controllers/forward_controller.cpp
@@ -16,19 +16,19 @@
 {
 }
 
-void ForwardController::add(const HomeAddress &home, const ReplyTarget &target, ForwardId id, PeerMessage message, Duration within)
+void ForwardController::add(Forward added, ForwardId id, Duration within)
 {
     ++this->board.stats.forwards;
     Forward &forward = this->forwards[id];
-    forward = Forward{target, home, PeerId(), std::move(message)};
+    forward = std::move(added);
     this->replyDeadlines.add(this->board.now + within, id);
-    const PeerRecord *peer = this->board.peers.find(home.address);
+    const PeerRecord *peer = this->board.peers.find(forward.home.address);
     if (peer != nullptr) {
         this->send(id, forward, *peer);
         return;
     }
     this->linkDeadlines.add(this->board.now + LinkTimeout, id);
-    this->outbox.emit(OpenPeer{home.address, false});
+    this->outbox.emit(OpenPeer{forward.home.address, false});
 }
 
 void ForwardController::send(ForwardId id, Forward &forward, const PeerRecord &peer)
@@ -47,9 +47,14 @@
     if (found == this->forwards.end()) {
         return;
     }
-    const ReplyTarget target = found->second.target;
+    const Forward forward = std::move(found->second);
     this->forwards.erase(found);
-    this->replies.refuse(target, makeError(code, std::move(message), "key"), Verdict::MayHaveRun, retryAfter);
+    const Refusal refusal{makeError(code, std::move(message), "key"), Verdict::MayHaveRun, retryAfter};
+    if (forward.givenUp) {
+        forward.givenUp(refusal);
+        return;
+    }
+    this->replies.refuse(forward.target, refusal.error, refusal.verdict, refusal.retryAfter);
 }
 
 void ForwardController::handle(ForwardedReply reply)
--- a/src/controllers/forward_controller.h
+++ b/src/controllers/forward_controller.h
@@ -22,6 +22,8 @@
 class ForwardController
 {
 public:
+    using GiveUpHandler = std::function<void(const Refusal &)>; ///< Called once instead of refusing, with the refusal.
+
     /** The references must outlive this object. */
     ForwardController(Blackboard &board, Outbox &outbox, ReplySender &replies);
 
@@ -32,13 +34,14 @@
      * @param target Who gets the reply.
      * @param message The request; its id is set here.
      * @param within Time after which the caller is told that no answer came.
+     * @param givenUp Decides what the caller is told if no answer comes; without it the caller is refused.
      */
     template<typename Message>
-    void forward(const HomeAddress &home, const ReplyTarget &target, Message message, Duration within)
+    void forward(const HomeAddress &home, const ReplyTarget &target, Message message, Duration within, GiveUpHandler givenUp = {})
     {
         const ForwardId id(++this->lastId);
         message.id = id;
-        this->add(home, target, id, std::move(message), within);
+        this->add(Forward{target, home, PeerId(), std::move(message), std::move(givenUp)}, id, within);
     }
 
     /** Hand a reply back. */
@@ -66,9 +69,10 @@
         HomeAddress home; ///< Where to.
         PeerId peer; ///< Link on which it was sent; 0 while it waits for one.
         PeerMessage message; ///< The request, until it is sent.
+        GiveUpHandler givenUp; ///< Decides what the caller is told if no answer comes.
     };
 
-    void add(const HomeAddress &home, const ReplyTarget &target, ForwardId id, PeerMessage message, Duration within);
+    void add(Forward forward, ForwardId id, Duration within);
     void send(ForwardId id, Forward &forward, const PeerRecord &peer);
     void giveUp(ForwardId id, ErrorCode code, std::string message, std::optional<Duration> retryAfter);
     std::vector<ForwardId> select(const std::function<bool(const Forward &)> &matches) const;
--- a/src/controllers/request_controller.cpp
+++ b/src/controllers/request_controller.cpp
@@ -75,8 +75,10 @@
     if (key.incarnation != this->board.identity.incarnation) {
         const bool goneForGood = submission.origin == RequestOrigin::Peer || key.address == this->board.identity.peerAddress;
         if (goneForGood) {
-            this->replies.refuse(submission.target, makeError(ErrorCode::HomeLost, "the instance that held this key is gone", "key"),
-                                 Verdict::MayHaveRun);
+            const JobQuestion::Kind kind = submission.job.mode == SubmitMode::Later ? JobQuestion::Kind::State : JobQuestion::Kind::Answer;
+            const Error error = makeError(ErrorCode::HomeLost, "the instance that held this key is gone", "key");
+            this->askWithoutHome(JobQuestion{submission.target, submission.origin, submission.team, submission.key, kind, false},
+                                 Refusal{error, Verdict::MayHaveRun, std::nullopt});
             return;
         }
         this->forward(std::move(submission), HomeAddress{key.address, key.incarnation});
@@ -128,7 +130,7 @@
         return;
     }
     if (submission.job.mode == SubmitMode::Later) {
-        this->startDurable(std::move(submission));
+        this->startDurable(submission);
         return;
     }
     this->keys.markUsed(key);
@@ -142,7 +144,7 @@
     this->jobs.start(job);
 }
 
-void RequestController::startDurable(Submission submission)
+void RequestController::startDurable(const Submission &submission)
 {
     const ReplyTarget target = submission.target;
     NewJob job{submission.key, submission.team, submission.job, StartAuthority::DurableClaim};
@@ -171,9 +173,25 @@
 void RequestController::forward(Submission submission, const HomeAddress &home)
 {
     const Duration within = submission.job.timeout + ForwardGrace;
-    this->forwards.forward(home, submission.target,
-                           ForwardedSubmit{ForwardId(), std::move(submission.team), std::move(submission.key), std::move(submission.job)},
-                           within);
+    const JobQuestion::Kind kind = submission.job.mode == SubmitMode::Later ? JobQuestion::Kind::State : JobQuestion::Kind::Answer;
+    const JobQuestion question{submission.target, submission.origin, submission.team, submission.key, kind, false};
+    ForwardedSubmit message{ForwardId(), std::move(submission.team), std::move(submission.key), std::move(submission.job)};
+    this->forwards.forward(home, submission.target, std::move(message), within,
+                           [this, question](const Refusal &refusal) { this->askWithoutHome(question, refusal); });
+}
+
+void RequestController::askWithoutHome(const JobQuestion &question, const Refusal &refusal)
+{
+    JobQuestion lastTry = question;
+    lastTry.isLastTry = true;
+    this->claims.lookUp(TeamKey{question.team, question.key}, [this, question = lastTry, refusal](const ClaimOutcome &outcome) {
+        const auto *claim = std::get_if<ClaimElsewhere>(&outcome);
+        if (claim != nullptr && claim->row.durable) {
+            this->askDurable(question, *claim);
+            return;
+        }
+        this->replies.refuse(question.target, refusal.error, refusal.verdict, refusal.retryAfter);
+    });
 }
 
 void RequestController::submitOwn(Submission submission)
@@ -207,7 +225,7 @@
         return;
     }
     if (submission.job.mode == SubmitMode::Later) {
-        this->startDurable(std::move(submission));
+        this->startDurable(submission);
         return;
     }
     const bool idempotent = isIdempotent(this->board, submission.job);
@@ -434,13 +452,17 @@
 
 void RequestController::forward(const JobQuestion &question, const HomeAddress &home)
 {
+    ForwardController::GiveUpHandler givenUp;
+    if (!question.isLastTry) {
+        givenUp = [this, question](const Refusal &refusal) { this->askWithoutHome(question, refusal); };
+    }
     if (question.kind == JobQuestion::Kind::Cancel) {
-        this->forwards.forward(home, question.target, ForwardedCancel{ForwardId(), question.team, question.key}, QuestionTimeout);
+        this->forwards.forward(home, question.target, ForwardedCancel{ForwardId(), question.team, question.key}, QuestionTimeout, givenUp);
         return;
     }
     const bool wait = question.kind == JobQuestion::Kind::Answer;
     this->forwards.forward(home, question.target, ForwardedFetch{ForwardId(), question.team, question.key, wait},
-                           wait ? AnswerTimeout : QuestionTimeout);
+                           wait ? AnswerTimeout : QuestionTimeout, givenUp);
 }
 
 } // namespace Tanagertally
--- a/src/controllers/request_controller.h
+++ b/src/controllers/request_controller.h
@@ -36,6 +36,7 @@
     TeamName team; ///< Team of the caller.
     JobKey key; ///< Key of the job.
     Kind kind = Kind::State; ///< What is asked.
+    bool isLastTry = false; ///< Whether its home was already looked for elsewhere in vain.
 };
 
 /**
@@ -66,7 +67,7 @@
     void submitOwn(Submission submission);
     void ownKeyClaimed(Submission submission, const ClaimOutcome &outcome);
     void ownKeyElsewhere(Submission submission, const ClaimElsewhere &claim);
-    void startDurable(Submission submission);
+    void startDurable(const Submission &submission);
     void resubmitted(JobRecord &job, const Submission &submission);
     void startHere(Submission submission, StartAuthority authority);
     void forward(Submission submission, const HomeAddress &home);
@@ -75,6 +76,7 @@
     void askByClaim(const JobQuestion &question, const ClaimOutcome &outcome);
     void askDurable(const JobQuestion &question, const ClaimElsewhere &claim);
     void forward(const JobQuestion &question, const HomeAddress &home);
+    void askWithoutHome(const JobQuestion &question, const Refusal &refusal);
     bool isKnownGone(const ClaimHolder &holder) const;
     bool refuseIfNotServing(const Submission &submission);
 
--- a/src/controllers/tests/decision_test.cpp
+++ b/src/controllers/tests/decision_test.cpp
@@ -137,6 +137,23 @@
     BOOST_TEST(answer.tasks.size() == 300U);
 }
 
+BOOST_AUTO_TEST_CASE(AdoptedJobUnderAnIssuedKeyIsFoundAlthoughItsIssuerIsDead)
+{
+    Session session(makeOptions());
+    session.runUntil(1s);
+    const JobKey key = issueKey(session, 0);
+    const std::size_t call = session.submit(0, Riders, key, makeJob(100, "lookup", SubmitMode::Later));
+    session.runUntil(session.now() + 60ms);
+    onlyReply<JobAccepted>(session, call);
+    session.kill(0);
+    session.runUntil(session.now() + 6s);
+    const std::size_t fetched = session.fetch(3, Riders, key, true);
+    const std::size_t again = session.submit(2, Riders, key, makeJob(100, "lookup", SubmitMode::Later));
+    session.runUntil(session.now() + 3s);
+    BOOST_TEST((onlyReply<JobAnswer>(session, fetched).outcome == JobOutcome::Complete));
+    BOOST_TEST((onlyReply<JobAnswer>(session, again).outcome == JobOutcome::Complete));
+}
+
 BOOST_AUTO_TEST_CASE(ConfigurationIsAcceptedOnceInForceEverywhere)
 {
     Session session(makeOptions());
--- a/src/core/strong_type.h
+++ b/src/core/strong_type.h
@@ -21,6 +21,7 @@
         : value(number)
     {
     }
+    // NOLINTNEXTLINE(modernize-use-nullptr): false positive on a defaulted comparison.
     friend constexpr auto operator<=>(const StrongInt &, const StrongInt &) = default;
 };
 
@@ -39,6 +40,7 @@
     {
         return this->value.empty();
     }
+    // NOLINTNEXTLINE(modernize-use-nullptr): false positive on a defaulted comparison.
     friend auto operator<=>(const StrongString &, const StrongString &) = default;
 };
 
