--- a/tests/standins/client_faults.cpp
+++ b/tests/standins/client_faults.cpp
@@ -17,9 +17,9 @@
 
 const PlatformFaults &lookUp(const std::map<std::string, PlatformFaults> &faults, const std::string &name)
 {
-    static const PlatformFaults None;
+    static const PlatformFaults none;
     const auto found = faults.find(name);
-    return found == faults.end() ? None : found->second;
+    return found == faults.end() ? none : found->second;
 }
 
 bool contains(const std::vector<std::string> &names, const std::string &name)
--- a/tests/standins/http_listener.cpp
+++ b/tests/standins/http_listener.cpp
@@ -138,6 +138,7 @@
 
 std::string HttpListener::address() const
 {
+    const std::lock_guard lock(this->mutex);
     return this->options.host + ":" + std::to_string(this->options.port);
 }
 
--- a/tests/standins/lagging_list.cpp
+++ b/tests/standins/lagging_list.cpp
@@ -26,6 +26,26 @@
     }
 };
 
+/** Tells which member a change speaks of. */
+struct Subject {
+    std::string operator()(const EndpointEntry &entry) const
+    {
+        return "endpoint " + entry.worker;
+    }
+    std::string operator()(const InstanceEntry &entry) const
+    {
+        return "instance " + entry.name;
+    }
+    std::string operator()(const EndpointGone &gone) const
+    {
+        return "endpoint " + gone.worker;
+    }
+    std::string operator()(const InstanceGone &gone) const
+    {
+        return "instance " + gone.name;
+    }
+};
+
 } // namespace
 
 LaggingList::LaggingList(Duration lag)
@@ -43,6 +63,8 @@
 void LaggingList::changeAtOnce(ListChange change)
 {
     const std::lock_guard lock(this->mutex);
+    const std::string subject = std::visit(Subject(), change);
+    std::erase_if(this->pending, [&subject](const Pending &older) { return std::visit(Subject(), older.change) == subject; });
     std::visit(Apply{this->now}, change);
     std::visit(Apply{this->visible}, change);
 }
--- a/tests/standins/lagging_list.h
+++ b/tests/standins/lagging_list.h
@@ -61,7 +61,7 @@
     /** Change the truth; the list shows it after the lag. */
     void change(TimePoint now, ListChange change);
 
-    /** Change the truth and the list at once. */
+    /** Change the truth and the list at once; earlier changes of this member are not shown any more. */
     void changeAtOnce(ListChange change);
 
     /** Set the lag; it holds for changes not yet shown as well. */
--- a/tests/standins/run_time.cpp
+++ b/tests/standins/run_time.cpp
@@ -42,15 +42,17 @@
     std::string_view rest = text;
     const std::string_view shape = takePart(rest);
     RunTimeSpec spec;
-    BOOST_OUTCOME_TRY(spec.scale, parseDuration(takePart(rest)));
     if (shape == "lognormal") {
         spec.shape = RunTimeShape::Lognormal;
-        BOOST_OUTCOME_TRY(spec.sigma, parseSigma(takePart(rest)));
     } else if (shape == "exponential") {
         spec.shape = RunTimeShape::Exponential;
     } else if (shape != "fixed") {
         return badRunTime(text);
     }
+    BOOST_OUTCOME_TRY(spec.scale, parseDuration(takePart(rest)));
+    if (spec.shape == RunTimeShape::Lognormal) {
+        BOOST_OUTCOME_TRY(spec.sigma, parseSigma(takePart(rest)));
+    }
     if (!rest.empty()) {
         return badRunTime(text);
     }
--- a/tests/standins/tests/platform_table_test.cpp
+++ b/tests/standins/tests/platform_table_test.cpp
@@ -95,6 +95,19 @@
     BOOST_TEST(list.shown(start + seconds(14)).instances.at("e1").leaving);
 }
 
+BOOST_AUTO_TEST_CASE(AChangeAtOnceIsNotUndoneByAnEarlierOne)
+{
+    using std::chrono::seconds;
+    const LaggingList::TimePoint start;
+    LaggingList list(seconds(2));
+    list.change(start, InstanceEntry{"e1", "dc1", "127.0.0.1:2", false});
+    list.change(start, InstanceEntry{"e2", "dc1", "127.0.0.1:3", false});
+    list.changeAtOnce(InstanceGone{"e1"});
+    const MemberList shown = list.shown(start + seconds(3));
+    BOOST_TEST(!shown.instances.contains("e1"));
+    BOOST_TEST(shown.instances.contains("e2"));
+}
+
 BOOST_AUTO_TEST_CASE(LimiterSpacesTurnsAndRefusesWaitsThatAreTooLong)
 {
     using std::chrono::milliseconds;
