--- a/src/endpoint/http_connection.cpp
+++ b/src/endpoint/http_connection.cpp
@@ -23,7 +23,7 @@
 constexpr int KeepaliveProbes = 3; ///< Unanswered probes after which the connection fails.
 constexpr std::chrono::milliseconds UserTimeout{4'000}; ///< Longest time that written data may stay unacknowledged.
 constexpr std::uint32_t MaxAnswerHeaderBytes = 8 * 1024; ///< Longest header of an answer.
-constexpr std::size_t FirstBufferBytes = 2 * 1024; ///< Memory set aside for answers at first.
+constexpr std::size_t FirstBufferBytes = 2'048; ///< Memory set aside for answers at first.
 constexpr int FirstFinalStatus = 200; ///< Lower statuses announce an answer that is still to come.
 
 using KeepaliveIdleOption = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
--- a/src/endpoint/http_pool.cpp
+++ b/src/endpoint/http_pool.cpp
@@ -76,7 +76,7 @@
     connection->exchange(std::move(call.request), call.deadline, std::move(finished));
 }
 
-void HttpPool::release(const std::shared_ptr<HttpConnection> &connection, asio::ip::tcp::endpoint openedTo)
+void HttpPool::release(const std::shared_ptr<HttpConnection> &connection, const asio::ip::tcp::endpoint &openedTo)
 {
     const bool wanted = !this->closed && openedTo == this->address;
     if (wanted && connection->isIdle()) {
--- a/src/endpoint/http_pool.h
+++ b/src/endpoint/http_pool.h
@@ -70,7 +70,7 @@
     };
 
     void run(const std::shared_ptr<HttpConnection> &connection, HttpCall call);
-    void release(const std::shared_ptr<HttpConnection> &connection, boost::asio::ip::tcp::endpoint openedTo);
+    void release(const std::shared_ptr<HttpConnection> &connection, const boost::asio::ip::tcp::endpoint &openedTo);
     void startWaiting();
     std::shared_ptr<HttpConnection> connectionFor(const HttpCall &call);
     std::shared_ptr<HttpConnection> takeIdle(std::optional<Duration> maxIdle);
--- a/src/endpoint/http_type.h
+++ b/src/endpoint/http_type.h
@@ -28,43 +28,44 @@
 using HttpSocket = boost::asio::basic_stream_socket<boost::asio::ip::tcp, HttpStrand>; ///< Socket on such a strand.
 using SteadyTimePoint = std::chrono::steady_clock::time_point; ///< An instant on the steady clock.
 
-/** Beast body that writes a Payload without copying it; a null payload is an empty body. */
+/** Hands a Payload to Beast's serializer as one buffer, without copying it. */
+class PayloadWriter
+{
+public:
+    using const_buffers_type = boost::asio::const_buffer; ///< One buffer holds the whole body.
+
+    template<bool IsRequest, typename Fields>
+    explicit PayloadWriter(const boost::beast::http::header<IsRequest, Fields> &, const Payload &content)
+        : body(content)
+    {
+    }
+    void init(boost::beast::error_code &error)
+    {
+        error = {};
+    }
+    boost::optional<std::pair<const_buffers_type, bool>> get(boost::beast::error_code &error)
+    {
+        error = {};
+        if (!this->body) {
+            return boost::none;
+        }
+        return std::pair(const_buffers_type(this->body->data(), this->body->size()), false);
+    }
+
+private:
+    const Payload &body; ///< Owned by the message.
+};
+
+/** Beast body of a message that holds a Payload; a null payload is an empty body. */
 struct PayloadBody {
     using value_type = Payload; ///< What a message of this body holds.
+    using writer = PayloadWriter; ///< Serializes it.
 
     /** @return Length of the body in bytes. */
     static std::uint64_t size(const value_type &body)
     {
         return body ? body->size() : 0;
     }
-
-    /** Hands the payload to the serializer as one buffer. */
-    class writer
-    {
-    public:
-        using const_buffers_type = boost::asio::const_buffer; ///< One buffer holds the whole body.
-
-        template<bool IsRequest, typename Fields>
-        explicit writer(const boost::beast::http::header<IsRequest, Fields> &, const value_type &content)
-            : body(content)
-        {
-        }
-        void init(boost::beast::error_code &error)
-        {
-            error = {};
-        }
-        boost::optional<std::pair<const_buffers_type, bool>> get(boost::beast::error_code &error)
-        {
-            error = {};
-            if (!this->body) {
-                return boost::none;
-            }
-            return std::pair(const_buffers_type(this->body->data(), this->body->size()), false);
-        }
-
-    private:
-        const value_type &body; ///< Owned by the message.
-    };
 };
 
 using HttpRequest = boost::beast::http::request<PayloadBody>; ///< A request to send.
--- a/src/platform/platform_client.cpp
+++ b/src/platform/platform_client.cpp
@@ -32,7 +32,7 @@
 class PlatformClient::Impl : public std::enable_shared_from_this<PlatformClient::Impl>
 {
 public:
-    Impl(asio::io_context &io, EventQueue &eventQueue, const PlatformClientOptions &setUp, const asio::ip::tcp::endpoint &address);
+    Impl(asio::io_context &io, EventQueue &eventQueue, PlatformClientOptions setUp, const asio::ip::tcp::endpoint &address);
     void startListing();
     void ask(AskPlatform action);
     void close();
@@ -53,13 +53,13 @@
     std::atomic<std::uint64_t> failures = 0; ///< Reads of the instance list that failed.
 };
 
-PlatformClient::Impl::Impl(asio::io_context &io, EventQueue &eventQueue, const PlatformClientOptions &setUp,
+PlatformClient::Impl::Impl(asio::io_context &io, EventQueue &eventQueue, PlatformClientOptions setUp,
                            const asio::ip::tcp::endpoint &address)
     : events(eventQueue)
-    , options(setUp)
-    , fields{setUp.address.value, percentEncode(setUp.instance.value)}
-    , requestPool(HttpPool::create(io, address, toPoolOptions(setUp, setUp.connections)))
-    , listPool(HttpPool::create(io, address, toPoolOptions(setUp, 1)))
+    , options(std::move(setUp))
+    , fields{this->options.address.value, percentEncode(this->options.instance.value)}
+    , requestPool(HttpPool::create(io, address, toPoolOptions(this->options, this->options.connections)))
+    , listPool(HttpPool::create(io, address, toPoolOptions(this->options, 1)))
     , listTimer(this->listPool->executor())
 {
 }
@@ -154,7 +154,7 @@
     if (options.listInterval <= Duration::zero()) {
         return makeError(ErrorCode::BadInput, "expected a positive time", "listInterval");
     }
-    auto implementation = std::make_shared<Impl>(io, events, options, address.value());
+    auto implementation = std::make_shared<Impl>(io, events, std::move(options), address.value());
     implementation->startListing();
     return std::unique_ptr<PlatformClient>(new PlatformClient(std::move(implementation)));
 }
