Endpoint tests: silent network, answers over the limit

The former case of an oversized answer passed without a limit, since its body never came; now the body comes.

--- a/src/endpoint/endpoint_pool.h
+++ b/src/endpoint/endpoint_pool.h
@@ -46,7 +46,10 @@
     EndpointPool(const EndpointPool &) = delete;
     EndpointPool &operator=(const EndpointPool &) = delete;
 
-    /** Make an endpoint known, or change its address: idle connections to the former address are closed. */
+    /**
+     * Make an endpoint known, or change its address: idle connections to the former address are closed.
+     * An endpoint whose address is not an IP number and a port counts as unknown.
+     */
     void carryOut(const AddEndpoint &action);
 
     /** Forget an endpoint: idle connections close, attempts that wait end as NotDelivered, attempts in flight finish. */
--- a/src/endpoint/http_connection.cpp
+++ b/src/endpoint/http_connection.cpp
@@ -184,13 +184,14 @@
         return;
     }
     this->abortReason = reason;
-    // Bytes that the kernel has not sent yet are dropped rather than delivered late.
-    error_code ignored;
-    this->socket.set_option(asio::socket_base::linger(true, 0), ignored);
-    this->closeSocket();
-    if (!this->done) {
+    if (this->done) {
+        // Bytes that the kernel has not sent yet are dropped rather than delivered late.
+        error_code ignored;
+        this->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    } else {
         this->life.failed(0);
     }
+    this->closeSocket();
 }
 
 void HttpConnection::fail(std::string_view reason, std::size_t bytesWritten)
@@ -206,9 +207,7 @@
 void HttpConnection::finish(HttpResult result)
 {
     ++this->timerRound;
-    if (this->deadline) {
-        this->timer.cancel();
-    }
+    this->timer.cancel();
     this->request = {};
     const HttpResultHandler handler = std::exchange(this->done, {});
     handler(std::move(result));
--- a/src/endpoint/http_pool.cpp
+++ b/src/endpoint/http_pool.cpp
@@ -41,6 +41,10 @@
         endUnsent(call, "closed");
         return;
     }
+    if (call.deadline && *call.deadline <= std::chrono::steady_clock::now()) {
+        endUnsent(call, "timeout before sending");
+        return;
+    }
     const std::shared_ptr<HttpConnection> connection = this->connectionFor(call);
     if (connection) {
         this->run(connection, std::move(call));
--- a/src/endpoint/tests/endpoint_test.cpp
+++ b/src/endpoint/tests/endpoint_test.cpp
@@ -127,7 +127,7 @@
 };
 
 struct AnswerCase {
-    const char *answer;
+    std::string answer;
     AttemptOutcome outcome;
     const char *text; ///< Expected output, or error text if not null.
 };
@@ -150,7 +150,10 @@
     {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n1\r\n", AttemptOutcome::Lost, nullptr}, // closed mid-answer
     {"HTTP/1.1 200 OK\r\n\r\n1", AttemptOutcome::Lost, nullptr}, // no way to tell whether it is whole
     {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnope", AttemptOutcome::Lost, nullptr}, // not JSON
-    {"HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n", AttemptOutcome::Lost, nullptr}, // over the limit
+    {"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n" + std::string(100, '1'), AttemptOutcome::Succeeded, nullptr},
+    {"HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n" + std::string(101, '1'), AttemptOutcome::Lost, nullptr}, // over the limit
+    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n65\r\n" + std::string(101, '1') + "\r\n0\r\n\r\n", AttemptOutcome::Lost,
+     nullptr},
     {"\x16\x03\x01 garbage\r\n\r\n", AttemptOutcome::Lost, nullptr},
     {"", AttemptOutcome::Lost, nullptr},
 };
@@ -478,6 +481,36 @@
     BOOST_TEST(option(IPPROTO_TCP, TCP_USER_TIMEOUT) == 4000);
 }
 
+BOOST_AUTO_TEST_CASE(SilentNetworkEndsAttempts)
+{
+    std::promise<void> silent;
+    TestServer server([&](ServerConnection &connection, int number) {
+        connection.readRequest();
+        if (number == 0) {
+            connection.answer("200 OK", "0");
+            std::this_thread::sleep_for(50ms);
+        }
+        connection.goSilent();
+        if (number == 0) {
+            silent.set_value();
+        }
+        connection.awaitClose();
+    });
+    Rig rig(server.address());
+    BOOST_TEST(rig.run(1).outcome == AttemptOutcome::Succeeded);
+    silent.get_future().wait();
+    const auto begin = std::chrono::steady_clock::now();
+    rig.start(2); // on the first connection; never acknowledged
+    rig.start(3); // on the second connection; read, and then silence
+    for (int i = 0; i < 2; ++i) {
+        const AttemptEnded ended = rig.await<AttemptEnded>();
+        BOOST_TEST(ended.outcome == AttemptOutcome::Lost);
+        BOOST_TEST(ended.error == "Connection timed out");
+    }
+    BOOST_TEST((std::chrono::steady_clock::now() - begin < 7s));
+    BOOST_TEST(server.accepted == 2);
+}
+
 BOOST_AUTO_TEST_CASE(EvidenceFollowsFromState)
 {
     ConnectionLife life;
--- a/src/endpoint/tests/test_server.h
+++ b/src/endpoint/tests/test_server.h
@@ -9,6 +9,8 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
+#include <linux/filter.h>
+
 #include <atomic>
 #include <functional>
 #include <list>
@@ -67,6 +69,13 @@
             this->socket.read_some(boost::asio::buffer(&byte, 1), error);
         }
     }
+    /** Drop all that the client sends from now on in the kernel, as a network that has lost track of the connection does. */
+    void goSilent()
+    {
+        sock_filter dropAll = BPF_STMT(BPF_RET | BPF_K, 0);
+        const sock_fprog program{1, &dropAll};
+        ::setsockopt(this->socket.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program);
+    }
     void shutDown()
     {
         ::shutdown(this->socket.native_handle(), SHUT_RDWR);
--- a/src/platform/tests/platform_test.cpp
+++ b/src/platform/tests/platform_test.cpp
@@ -139,7 +139,7 @@
     {sampleWrite(), "", "may have taken effect"}, // lost after the write
     {sampleWrite(), answerText("200 OK", BothRows).substr(0, 60), "may have taken effect"}, // closed mid-answer
     {sampleWrite(), "garbage\r\n\r\n", "may have taken effect"},
-    {sampleWrite(), answerText("200 OK", std::string(1001, ' ')), "may have taken effect"}, // over the limit
+    {sampleWrite(), answerText("200 OK", BothRows + std::string(1000, ' ')), "may have taken effect"}, // over the limit
     {sampleWrite(), answerText("200 OK", "{\"rows\":"), "may have taken effect"},
     {sampleWrite(), answerText("200 OK", R"({"rows":[{"key":"a","version":-7}]})"), "may have taken effect"},
     {sampleWrite(), answerText("200 OK", R"({"rows":[{"key":"b","version":7}]})"), "may have taken effect"}, // a is missing
