--- a/src/endpoint/tests/endpoint_test.cpp
+++ b/src/endpoint/tests/endpoint_test.cpp
@@ -3,6 +3,7 @@
 #include "endpoint/endpoint_pool.h"
 #include "endpoint/http_connection.h"
 #include "endpoint/net_address_func.h"
+#include "endpoint/tests/event_reader.h"
 #include "endpoint/tests/test_server.h"
 
 #include <boost/test/data/monomorphic.hpp>
@@ -29,11 +30,9 @@
 
 constexpr EndpointId Endpoint{1};
 constexpr Duration AnyIdle = 1h;
-constexpr auto EventTimeout = 10s; ///< An event that takes longer does not come.
-constexpr auto QuietTime = 100ms; ///< Time in which a surplus event would have come.
 
-/** A pool with one endpoint, and the events that it pushes. */
-struct Rig {
+/** A pool with one endpoint. */
+struct Rig : EventReader {
     explicit Rig(const NetAddress &address, EndpointPoolOptions options = {})
         : pool(EndpointPool::create(io.context, events, options).value())
     {
@@ -48,32 +47,12 @@
     {
         this->pool->carryOut(AbandonAttempt{AttemptId(attempt)});
     }
-    template<typename T>
-    T await()
-    {
-        if (this->batch.empty()) {
-            this->events.drain(std::chrono::steady_clock::now() + EventTimeout, this->batch);
-        }
-        BOOST_REQUIRE(!this->batch.empty());
-        T event = std::get<T>(this->batch.front());
-        this->batch.erase(this->batch.begin());
-        return event;
-    }
     AttemptEnded run(std::uint64_t attempt, Duration maxIdle = AnyIdle)
     {
         this->start(attempt, maxIdle);
         return this->await<AttemptEnded>();
     }
-    bool isQuiet()
-    {
-        if (this->batch.empty()) {
-            this->events.drain(std::chrono::steady_clock::now() + QuietTime, this->batch);
-        }
-        return this->batch.empty();
-    }
 
-    EventQueue events;
-    std::vector<Event> batch; ///< Events taken and not yet looked at.
     RunningIo io{2};
     std::unique_ptr<EndpointPool> pool;
 };
@@ -86,9 +65,10 @@
     {
         this->promise.set_value();
     }
-    void await() const
+    /** @return Whether it was set in time. */
+    bool await() const
     {
-        BOOST_TEST((this->future.wait_for(EventTimeout) == std::future_status::ready));
+        return this->future.wait_for(EventTimeout) == std::future_status::ready;
     }
 
 private:
@@ -240,7 +220,7 @@
     });
     Rig rig(server.address());
     rig.start(1);
-    received.await();
+    BOOST_TEST(received.await());
     rig.abandon(1);
     BOOST_TEST(rig.await<AttemptEnded>().outcome == AttemptOutcome::Lost);
     abandoned.set();
@@ -264,7 +244,7 @@
     });
     Rig rig(server.address());
     BOOST_TEST(*rig.run(1).output == "0");
-    sent.await();
+    BOOST_TEST(sent.await());
     std::this_thread::sleep_for(50ms);
     BOOST_TEST(*rig.run(2).output == "1");
 }
@@ -313,7 +293,7 @@
     options.idleTimeout = 100ms;
     Rig rig(server.address(), options);
     rig.run(1);
-    closed.await();
+    BOOST_TEST(closed.await());
 }
 
 BOOST_AUTO_TEST_CASE(AbandonMidWriteIsLost)
@@ -405,7 +385,7 @@
     Rig rig(server.address(), options);
     rig.start(1);
     rig.start(2);
-    received.await();
+    BOOST_TEST(received.await());
     rig.pool->carryOut(RemoveEndpoint{Endpoint});
     const AttemptEnded waiting = rig.await<AttemptEnded>();
     BOOST_TEST(waiting.attempt.value == 2U);
@@ -413,7 +393,7 @@
     BOOST_TEST(rig.run(3).outcome == AttemptOutcome::NotDelivered);
     release.set();
     BOOST_TEST(rig.await<AttemptEnded>().outcome == AttemptOutcome::Succeeded);
-    closed.await();
+    BOOST_TEST(closed.await());
 }
 
 BOOST_AUTO_TEST_CASE(NewAddressTakesOver)
@@ -483,7 +463,7 @@
 
 BOOST_AUTO_TEST_CASE(SilentNetworkEndsAttempts)
 {
-    std::promise<void> silent;
+    Signal silent;
     TestServer server([&](ServerConnection &connection, int number) {
         connection.readRequest();
         if (number == 0) {
@@ -492,13 +472,13 @@
         }
         connection.goSilent();
         if (number == 0) {
-            silent.set_value();
+            silent.set();
         }
         connection.awaitClose();
     });
     Rig rig(server.address());
     BOOST_TEST(rig.run(1).outcome == AttemptOutcome::Succeeded);
-    silent.get_future().wait();
+    BOOST_TEST(silent.await());
     const auto begin = std::chrono::steady_clock::now();
     rig.start(2); // on the first connection; never acknowledged
     rig.start(3); // on the second connection; read, and then silence
--- a/src/platform/tests/platform_test.cpp
+++ b/src/platform/tests/platform_test.cpp
@@ -1,4 +1,5 @@
 #define BOOST_TEST_MODULE platform
+#include "endpoint/tests/event_reader.h"
 #include "endpoint/tests/test_server.h"
 #include "platform/platform_client.h"
 #include "platform/platform_codec.h"
@@ -12,12 +13,10 @@
 
 namespace {
 
-constexpr auto EventTimeout = 10s; ///< An event that takes longer does not come.
-constexpr auto QuietTime = 100ms; ///< Time in which a surplus event would have come.
 constexpr Duration NoListing = 1h; ///< Interval at which the list is read once only.
 
-/** A client, and the events that it pushes. The answers to its list requests are up to the server's script. */
-struct Rig {
+/** A client. The answers to its list requests are up to the server's script. */
+struct Rig : EventReader {
     explicit Rig(const NetAddress &address, Duration listInterval = NoListing, std::uint32_t connections = 4)
     {
         PlatformClientOptions options;
@@ -33,27 +32,7 @@
     {
         this->client->carryOut(AskPlatform{TableRequestId(id), std::move(request), timeout});
     }
-    template<typename T>
-    T await()
-    {
-        if (this->batch.empty()) {
-            this->events.drain(std::chrono::steady_clock::now() + EventTimeout, this->batch);
-        }
-        BOOST_REQUIRE(!this->batch.empty());
-        T event = std::get<T>(this->batch.front());
-        this->batch.erase(this->batch.begin());
-        return event;
-    }
-    bool isQuiet()
-    {
-        if (this->batch.empty()) {
-            this->events.drain(std::chrono::steady_clock::now() + QuietTime, this->batch);
-        }
-        return this->batch.empty();
-    }
 
-    EventQueue events;
-    std::vector<Event> batch; ///< Events taken and not yet looked at.
     RunningIo io{2};
     std::unique_ptr<PlatformClient> client;
 };
