--- a/src/caller/caller_handler.cpp
+++ b/src/caller/caller_handler.cpp
@@ -91,7 +91,7 @@
 {
 }
 
-HttpOutcome CallerHandler::handle(HttpRequest request, RequestId id) const
+HttpOutcome CallerHandler::handle(const HttpRequest &request, RequestId id) const
 {
     const Result<RequestTarget> target = parseTarget(request.target());
     if (target.has_error()) {
--- a/src/caller/caller_handler.h
+++ b/src/caller/caller_handler.h
@@ -24,7 +24,7 @@
     CallerHandler(BearerAuth knownTeams, const HttpLimits &listenerLimits);
 
     /** @return The reply to a request, or the event that it stands for. */
-    HttpOutcome handle(HttpRequest request, RequestId id) const;
+    HttpOutcome handle(const HttpRequest &request, RequestId id) const;
 
     /** @return The error document for a refusal by the server. */
     HttpReply refuse(HttpRefusal refusal) const;
--- a/src/caller/http_handler.h
+++ b/src/caller/http_handler.h
@@ -13,10 +13,10 @@
  * - `refuse` words a refusal that the server makes by itself.
  */
 template<typename T>
-concept HttpHandler = requires(T &handler, HttpRequest request, RequestId id, HttpRefusal refusal)
+concept HttpHandler = requires(T &handler, const HttpRequest &request, RequestId id, HttpRefusal refusal)
 {
     {
-        handler.handle(std::move(request), id)
+        handler.handle(request, id)
         } -> std::same_as<HttpOutcome>;
     {
         handler.refuse(refusal)
--- a/src/caller/http_session.h
+++ b/src/caller/http_session.h
@@ -107,8 +107,8 @@
 private:
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
-    static constexpr std::size_t ReadChunkBytes = 8 * 1024; ///< Most bytes taken by one read.
-    static constexpr std::size_t MaxPipelinedBytes = 16 * 1024; ///< Bytes of later requests held while one is served.
+    static constexpr std::size_t ReadChunkBytes = 8192; ///< Most bytes taken by one read.
+    static constexpr std::size_t MaxPipelinedBytes = 16384; ///< Bytes of later requests held while one is served.
 
     /** What the connection is doing. */
     enum class Phase : std::uint8_t {
@@ -224,14 +224,14 @@
 
     void dispatch()
     {
-        HttpRequest request = this->parser->release();
+        const HttpRequest request = this->parser->release();
         this->parser.reset();
         if (!this->core->gate->admitRequest(this->remote, std::chrono::steady_clock::now())) {
             this->send(this->core->handler->refuse(HttpRefusal::TooManyRequests), this->core->writing.begin());
             return;
         }
         const RequestId id = this->core->events.nextRequestId();
-        HttpOutcome outcome = this->core->handler->handle(std::move(request), id);
+        HttpOutcome outcome = this->core->handler->handle(request, id);
         if (HttpReply *reply = std::get_if<HttpReply>(&outcome)) {
             this->send(std::move(*reply), this->core->writing.begin());
             return;
@@ -274,7 +274,7 @@
         this->send(std::move(reply), this->core->writing.begin());
     }
 
-    void send(HttpReply reply, WorkCount::Token token)
+    void send(HttpReply reply, WorkCount::Token &&token)
     {
         this->phase = Phase::Writing;
         this->writeToken = std::move(token);
--- a/src/caller/http_type.h
+++ b/src/caller/http_type.h
@@ -18,7 +18,7 @@
 /** What one listener accepts from its callers. */
 struct HttpLimits {
     std::uint32_t maxHeaderBytes = 8 * 1024; ///< Longest header, with the request line.
-    std::uint64_t maxBodyBytes = 8 * 1024 * 1024; ///< Longest body.
+    std::uint64_t maxBodyBytes = 8UL * 1024 * 1024; ///< Longest body.
     std::size_t maxConnections = 4096; ///< Most connections open at once.
     std::size_t maxConnectionsPerAddress = 4096; ///< Most connections open at once from one remote IP address.
     double maxRequestRatePerAddress = 0; ///< Most requests per second from one remote IP address; 0 for no limit.
--- a/src/cli/job_file.cpp
+++ b/src/cli/job_file.cpp
@@ -12,7 +12,7 @@
 
 using Json = nlohmann::json;
 
-constexpr std::size_t MaxJsonBytes = 8 * 1024 * 1024; ///< Longest JSON text made of YAML; aliases can make a short file long.
+constexpr std::size_t MaxJsonBytes = 8UL * 1024 * 1024; ///< Longest JSON text made of YAML; aliases can make a short file long.
 constexpr std::size_t MaxDepth = 100; ///< Deepest nesting.
 
 std::string place(const YAML::Mark &mark)
@@ -57,7 +57,7 @@
         for (const auto &member : node) {
             this->json += isFirst ? "" : ",";
             isFirst = false;
-            const Result<void> written = this->write(member, depth + 1);
+            Result<void> written = this->write(member, depth + 1);
             if (written.has_error()) {
                 return written;
             }
@@ -139,7 +139,7 @@
 /** Put a field at the start of an object's text, unless the object has it already with the same value. */
 Result<void> insertField(std::string &text, const Json &document, std::string_view field, const Json &value)
 {
-    const Result<void> checked = checkOverride(document, field, value);
+    Result<void> checked = checkOverride(document, field, value);
     if (checked.has_error() || document.contains(field)) {
         return checked;
     }
--- a/src/cli/printer.cpp
+++ b/src/cli/printer.cpp
@@ -202,6 +202,7 @@
 {
     const std::vector<std::string> columns = columnsOf(rows);
     std::vector<std::size_t> widths;
+    widths.reserve(columns.size());
     for (const std::string &column : columns) {
         std::size_t width = column.size();
         for (const Document &row : rows) {
@@ -212,6 +213,7 @@
     this->terminal.out << tableLine(columns, widths);
     for (const Document &row : rows) {
         std::vector<std::string> cells;
+        cells.reserve(columns.size());
         for (const std::string &column : columns) {
             cells.push_back(fieldText(row, column.c_str()));
         }
--- a/src/operator/operator_codec.h
+++ b/src/operator/operator_codec.h
@@ -10,7 +10,7 @@
 
 namespace Tanagertally {
 
-inline constexpr std::size_t MaxOperatorTextBytes = 1024 * 1024; ///< Longest query or command, which may hold a whole configuration.
+inline constexpr std::size_t MaxOperatorTextBytes = 1024UL * 1024; ///< Longest query or command, which may hold a whole configuration.
 
 /** A query or command as it was read. */
 struct OperatorInput {
--- a/src/operator/operator_handler.cpp
+++ b/src/operator/operator_handler.cpp
@@ -30,7 +30,7 @@
 {
 }
 
-HttpOutcome OperatorHandler::handle(HttpRequest request, RequestId id) const
+HttpOutcome OperatorHandler::handle(const HttpRequest &request, RequestId id) const
 {
     const Result<RequestTarget> target = parseTarget(request.target());
     if (target.has_error()) {
--- a/src/operator/operator_handler.h
+++ b/src/operator/operator_handler.h
@@ -23,7 +23,7 @@
     OperatorHandler(BearerAuth knownOperators, const HttpLimits &listenerLimits, std::function<std::string()> metrics);
 
     /** @return The reply to a request, or the event that it stands for. */
-    HttpOutcome handle(HttpRequest request, RequestId id) const;
+    HttpOutcome handle(const HttpRequest &request, RequestId id) const;
 
     /** @return The error document for a refusal by the server. */
     HttpReply refuse(HttpRefusal refusal) const;
