--- a/src/caller/caller_handler.cpp
+++ b/src/caller/caller_handler.cpp
@@ -143,6 +143,9 @@
 
 HttpOutcome CallerHandler::handleSubmission(const HttpRequest &request, RequestId id, TeamName team) const
 {
+    if (request.count("Idempotency-Key") > 1) {
+        return badInput(makeError(ErrorCode::BadInput, "expected this header once", "Idempotency-Key"), std::nullopt);
+    }
     Result<Submission> submission = decodeSubmission(request.body(), findHeader(request, "Idempotency-Key"));
     if (submission.has_error()) {
         return badInput(submission.error(), std::nullopt);
--- a/src/caller/tests/codec_test.cpp
+++ b/src/caller/tests/codec_test.cpp
@@ -93,6 +93,7 @@
     const std::string keyed = R"({"key":"k","tasks":[{"kind":"a","payload":1}]})";
     checkRefusal(client.call("POST /v1/jobs", keyed, "Idempotency-Key: other\r\n"), {keyed, "key", "differs"});
     checkRefusal(client.call("POST /v1/jobs", keyed, "Idempotency-Key: \"\"\r\n"), {keyed, "Idempotency-Key", "1 to 200"});
+    checkRefusal(client.call("POST /v1/jobs", keyed, "Idempotency-Key: k\r\nIdempotency-Key: k\r\n"), {keyed, "Idempotency-Key", "once"});
     BOOST_TEST(client.call("POST /v1/jobs", keyed, "Idempotency-Key: \"k\"\r\n").result_int() == 200U);
     BOOST_TEST(running.waitFor([](const auto &events) { return events.size() == 1; }));
 }
--- a/src/caller/tests/fake_decisions.h
+++ b/src/caller/tests/fake_decisions.h
@@ -127,6 +127,9 @@
         if (found != this->answers.end()) {
             return found->second;
         }
+        if (key.value == "night/2") {
+            return JobStatus{key, JobState::Running, 3, 2, 1};
+        }
         return Refusal{makeError(ErrorCode::NotFound, "nothing is known under this key", "key"), Verdict::NotRun, std::nullopt};
     }
 
