Peer links: a pause of the process is no silence of its peers

Under the address sanitizer a 16 MiB message kept the links' thread busy for longer than the silence timeout, and the next tick closed a link whose pongs lay unread in the socket. Lateness of the tick is now taken off every link's silence.

--- a/src/peer/dial_plan.h
+++ b/src/peer/dial_plan.h
@@ -7,7 +7,7 @@
 #include "peer/websocket_transport.h"
 
 #include <chrono>
-#include <map>
+#include <unordered_map>
 #include <vector>
 
 namespace Tanagertally {
@@ -74,7 +74,7 @@
 private:
     Duration interval; ///< Mean time between two tries.
     RandomEngine engine; ///< Source of the jitter.
-    std::map<NetAddress, DialTarget> targets; ///< All targets.
+    std::unordered_map<NetAddress, DialTarget> targets; ///< All targets.
 };
 
 } // namespace Tanagertally
--- a/src/peer/link_admission.cpp
+++ b/src/peer/link_admission.cpp
@@ -17,7 +17,7 @@
 /** An order of instances on which both sides agree. */
 bool isBefore(const InstanceIdentity &first, const InstanceIdentity &second)
 {
-    return std::tie(first.name, first.incarnation) < std::tie(second.name, second.incarnation);
+    return std::tie(first.name.value, first.incarnation.value) < std::tie(second.name.value, second.incarnation.value);
 }
 
 bool isSame(const InstanceIdentity &first, const InstanceIdentity &second)
--- a/src/peer/link_table.cpp
+++ b/src/peer/link_table.cpp
@@ -224,11 +224,26 @@
 void LinkTable::tick()
 {
     const Time now = currentTime();
+    this->excuseLateness(now);
     this->checkLinks(now);
     this->checkTargets(now);
+    this->nextTick = now + this->tickInterval();
     this->transport.callAfter(this->tickInterval(), [this] { this->tick(); });
 }
 
+/** Time in which this thread did not run, because of a pause or a long message, counts against no link. */
+void LinkTable::excuseLateness(Time now)
+{
+    const Duration lateness = now - this->nextTick;
+    if (this->nextTick == Time() || lateness <= this->tickInterval()) {
+        return;
+    }
+    for (auto &entry : this->links) {
+        entry.second.started += lateness;
+        entry.second.heard += lateness;
+    }
+}
+
 void LinkTable::checkLinks(Time now)
 {
     std::vector<ConnectionHandle> overdue;
--- a/src/peer/link_table.h
+++ b/src/peer/link_table.h
@@ -85,6 +85,7 @@
     std::unordered_map<PeerId, ConnectionHandle> upById; ///< Links that are up, by number.
     std::deque<std::pair<InstanceName, Incarnation>> replaced; ///< Incarnations whose place a newer one took, oldest first.
     PeerId lastId; ///< Last number given out.
+    Time nextTick; ///< When tick() is due next.
 
     void dial(const NetAddress &address, Time now);
     void lost(const NetAddress &address, std::uint16_t code);
@@ -108,6 +109,7 @@
     void abort(ConnectionHandle handle);
     void forget(ConnectionHandle handle, std::uint16_t code);
 
+    void excuseLateness(Time now);
     void checkLinks(Time now);
     void checkTargets(Time now);
     Duration tickInterval() const;
--- a/src/peer/websocket_transport.cpp
+++ b/src/peer/websocket_transport.cpp
@@ -22,7 +22,7 @@
 
 /** Both roles use one configuration, so that their connections are of one type. */
 struct TransportConfig : websocketpp::config::asio_client {
-    static const std::size_t connection_read_buffer_size = SocketReadBufferBytes;
+    static const std::size_t connection_read_buffer_size = SocketReadBufferBytes; // NOLINT(readability-identifier-naming)
 };
 
 using Server = websocketpp::server<TransportConfig>;
