--- a/src/language/language_grammar.cpp
+++ b/src/language/language_grammar.cpp
@@ -236,65 +236,65 @@
 // What follows a keyword is required (">"), so that no action has to be undone.
 namespace LanguageGrammar {
 
-const Scanner name(scanToken, "a name");
-const Scanner number(scanWord, "a number");
-const Scanner subject(scanWord, "a subject");
-const Scanner field(scanWord, "a field");
-const Scanner comparator(scanComparator, R"("=", "!=", "<", "<=", ">", ">=")");
-const Scanner value(scanToken, "a value");
-const Scanner document(scanDocument, "a JSON document in braces");
-const Scanner opening(scanOpening, "\"(\"");
-const Scanner closing(scanClosing, "\")\"");
-const Scanner end(scanEnd, "the end");
+const Scanner Name(scanToken, "a name");
+const Scanner Number(scanWord, "a number");
+const Scanner Subject(scanWord, "a subject");
+const Scanner Field(scanWord, "a field");
+const Scanner Comparator(scanComparator, R"("=", "!=", "<", "<=", ">", ">=")");
+const Scanner Value(scanToken, "a value");
+const Scanner Document(scanDocument, "a JSON document in braces");
+const Scanner Opening(scanOpening, "\"(\"");
+const Scanner Closing(scanClosing, "\")\"");
+const Scanner End(scanEnd, "the end");
 
 struct ConditionTag;
-const x3::rule<ConditionTag> condition = "condition";
-
-const auto comparison = field[remember(&ConditionSyntax::field)] > comparator[remember(&ConditionSyntax::comparator)]
-                        > value[remember(&ConditionSyntax::value)] > x3::eps[pushComparison()];
-const auto bracket = opening[openBracket()] > condition > closing[closeBracket()];
-const auto operand = *keyword("\"not\"")[countNot()] >> (bracket | comparison) >> x3::eps[applyNots()];
-const auto chainOfAnd
-    = x3::eps[startChain()] >> operand >> *(keyword("\"and\"") > operand) >> x3::eps[endChain(ConditionSyntax::Kind::All)];
-const auto condition_def // NOLINT(readability-identifier-naming)
-    = x3::eps[startChain()] >> chainOfAnd >> *(keyword("\"or\"") > chainOfAnd) >> x3::eps[endChain(ConditionSyntax::Kind::Any)];
-
-BOOST_SPIRIT_DEFINE(condition)
-
-const auto where = keyword("\"where\"") > condition > x3::eps[keepCondition()];
-const auto ifVersion = keyword("\"if\"") > keyword("\"version\"") > number[keep(&StatementSyntax::ifVersion)];
-
-const auto direction = keyword("\"asc\"") | keyword("\"desc\"")[raise(&StatementSyntax::isDescending)];
-const auto order = keyword("\"order\"") > keyword("\"by\"") > field[keep(&StatementSyntax::orderBy)] > -direction;
-const auto limit = keyword("\"limit\"") > number[keep(&StatementSyntax::limit)];
-const auto showCount = keyword("\"count\"")[set(Verb::ShowCount)] > keyword("\"of\"") > subject[keep(&StatementSyntax::subject)] > -where;
-const auto showRows = subject[keep(&StatementSyntax::subject)] > x3::eps[set(Verb::ShowRows)] > -where > -order > -limit;
-const auto show = keyword("\"show\"") > (showCount | showRows);
-
-const auto explained = keyword("\"job\"")[set(Verb::ExplainJob)] | keyword("\"endpoint\"")[set(Verb::ExplainEndpoint)]
+const x3::rule<ConditionTag> Condition = "condition";
+
+const auto Comparison = Field[remember(&ConditionSyntax::field)] > Comparator[remember(&ConditionSyntax::comparator)]
+                        > Value[remember(&ConditionSyntax::value)] > x3::eps[pushComparison()];
+const auto Bracket = Opening[openBracket()] > Condition > Closing[closeBracket()];
+const auto Operand = *keyword("\"not\"")[countNot()] >> (Bracket | Comparison) >> x3::eps[applyNots()];
+const auto ChainOfAnd
+    = x3::eps[startChain()] >> Operand >> *(keyword("\"and\"") > Operand) >> x3::eps[endChain(ConditionSyntax::Kind::All)];
+const auto Condition_def // NOLINT(readability-identifier-naming)
+    = x3::eps[startChain()] >> ChainOfAnd >> *(keyword("\"or\"") > ChainOfAnd) >> x3::eps[endChain(ConditionSyntax::Kind::Any)];
+
+BOOST_SPIRIT_DEFINE(Condition)
+
+const auto Where = keyword("\"where\"") > Condition > x3::eps[keepCondition()];
+const auto IfVersion = keyword("\"if\"") > keyword("\"version\"") > Number[keep(&StatementSyntax::ifVersion)];
+
+const auto Direction = keyword("\"asc\"") | keyword("\"desc\"")[raise(&StatementSyntax::isDescending)];
+const auto Order = keyword("\"order\"") > keyword("\"by\"") > Field[keep(&StatementSyntax::orderBy)] > -Direction;
+const auto Limit = keyword("\"limit\"") > Number[keep(&StatementSyntax::limit)];
+const auto ShowCount = keyword("\"count\"")[set(Verb::ShowCount)] > keyword("\"of\"") > Subject[keep(&StatementSyntax::subject)] > -Where;
+const auto ShowRows = Subject[keep(&StatementSyntax::subject)] > x3::eps[set(Verb::ShowRows)] > -Where > -Order > -Limit;
+const auto Show = keyword("\"show\"") > (ShowCount | ShowRows);
+
+const auto Explained = keyword("\"job\"")[set(Verb::ExplainJob)] | keyword("\"endpoint\"")[set(Verb::ExplainEndpoint)]
                        | keyword("\"refusal\"")[set(Verb::ExplainRefusal)];
-const auto explain = keyword("\"explain\"") > explained > name[keep(&StatementSyntax::name)];
+const auto Explain = keyword("\"explain\"") > Explained > Name[keep(&StatementSyntax::name)];
 
-const auto cancelJob = keyword("\"job\"")[set(Verb::CancelJob)] > name[keep(&StatementSyntax::name)];
-const auto cancelJobs = keyword("\"jobs\"")[set(Verb::CancelJobs)] > where;
-const auto cancel = keyword("\"cancel\"") > (cancelJob | cancelJobs);
+const auto CancelJob = keyword("\"job\"")[set(Verb::CancelJob)] > Name[keep(&StatementSyntax::name)];
+const auto CancelJobs = keyword("\"jobs\"")[set(Verb::CancelJobs)] > Where;
+const auto Cancel = keyword("\"cancel\"") > (CancelJob | CancelJobs);
 
-const auto drained = keyword("\"endpoint\"")[set(Verb::DrainWorker)] | keyword("\"worker\"")[set(Verb::DrainWorker)]
+const auto Drained = keyword("\"endpoint\"")[set(Verb::DrainWorker)] | keyword("\"worker\"")[set(Verb::DrainWorker)]
                      | keyword("\"rack\"")[set(Verb::DrainRack)] | keyword("\"instance\"")[set(Verb::DrainInstance)]
                      | keyword("\"domain\"")[set(Verb::DrainDomain)];
-const auto drainVerb = keyword("\"drain\"") | keyword("\"undrain\"")[raise(&StatementSyntax::isUndone)];
-const auto drain = drainVerb > drained > name[keep(&StatementSyntax::name)] > -ifVersion;
+const auto DrainVerb = keyword("\"drain\"") | keyword("\"undrain\"")[raise(&StatementSyntax::isUndone)];
+const auto Drain = DrainVerb > Drained > Name[keep(&StatementSyntax::name)] > -IfVersion;
 
-const auto setLimit = keyword("\"limit\"")[set(Verb::SetLimit)] > keyword("\"kind\"") > name[keep(&StatementSyntax::name)]
-                      > keyword("\"concurrency\"") > number[keep(&StatementSyntax::number)];
-const auto setQuota = keyword("\"quota\"")[set(Verb::SetQuota)] > keyword("\"team\"") > name[keep(&StatementSyntax::name)]
-                      > number[keep(&StatementSyntax::number)];
-const auto setting = keyword("\"set\"") > (setLimit | setQuota) > -ifVersion;
+const auto SetLimit = keyword("\"limit\"")[set(Verb::SetLimit)] > keyword("\"kind\"") > Name[keep(&StatementSyntax::name)]
+                      > keyword("\"concurrency\"") > Number[keep(&StatementSyntax::number)];
+const auto SetQuota = keyword("\"quota\"")[set(Verb::SetQuota)] > keyword("\"team\"") > Name[keep(&StatementSyntax::name)]
+                      > Number[keep(&StatementSyntax::number)];
+const auto Setting = keyword("\"set\"") > (SetLimit | SetQuota) > -IfVersion;
 
-const auto reconfigure = keyword("\"reconfigure\"")[set(Verb::Reconfigure)] > document[keep(&StatementSyntax::name)] > -ifVersion;
+const auto Reconfigure = keyword("\"reconfigure\"")[set(Verb::Reconfigure)] > Document[keep(&StatementSyntax::name)] > -IfVersion;
 
-const auto statement = (show | explain | cancel | drain | setting | reconfigure) > end;
-const auto whitespace = x3::char_(" \t\r\n");
+const auto Statement = (Show | Explain | Cancel | Drain | Setting | Reconfigure) > End;
+const auto Whitespace = x3::char_(" \t\r\n");
 
 } // namespace LanguageGrammar
 
@@ -304,9 +304,9 @@
 {
     Iterator first = text.data();
     const Iterator last = first + text.size();
-    const auto parser = x3::with<BuilderTag>(std::ref(builder))[LanguageGrammar::statement];
+    const auto parser = x3::with<BuilderTag>(std::ref(builder))[LanguageGrammar::Statement];
     try {
-        return x3::phrase_parse(first, last, parser, LanguageGrammar::whitespace);
+        return x3::phrase_parse(first, last, parser, LanguageGrammar::Whitespace);
     } catch (const x3::expectation_failure<Iterator> &) {
         return false;
     }
