--- a/src/language/language_evaluate.cpp
+++ b/src/language/language_evaluate.cpp
@@ -70,9 +70,11 @@
 {
     const Value &one = valueOf(first, order.field);
     const Value &other = valueOf(second, order.field);
-    const bool isOtherUnset = std::holds_alternative<std::monostate>(other);
-    if (std::holds_alternative<std::monostate>(one) || isOtherUnset) {
-        return isOtherUnset && !std::holds_alternative<std::monostate>(one);
+    if (std::holds_alternative<std::monostate>(one)) {
+        return false;
+    }
+    if (std::holds_alternative<std::monostate>(other)) {
+        return true;
     }
     const std::partial_ordering comparison = compare(one, other);
     return order.isDescending ? std::is_gt(comparison) : std::is_lt(comparison);
--- a/src/language/tests/language_test.cpp
+++ b/src/language/tests/language_test.cpp
@@ -141,7 +141,9 @@
     BOOST_TEST((duration("106751d") == std::chrono::hours(24 * 106751)));
     BOOST_TEST(parseStatement("show jobs where age = 0.5ns").has_error());
     BOOST_TEST(parseStatement("show jobs where age = 1.0000000001s").has_error());
+    BOOST_TEST(parseStatement("show jobs where age = 1.00000000001s").has_error());
     BOOST_TEST(parseStatement("show jobs where age = 106752d").has_error());
+    BOOST_TEST(parseStatement("show jobs where age = 106751.9999d").has_error());
 }
 
 BOOST_AUTO_TEST_CASE(ConditionsAreEvaluatedOnRows)
@@ -154,6 +156,9 @@
         BOOST_TEST(evaluate(condition(text), row), text);
         BOOST_TEST(!evaluate(condition("not (" + std::string(text) + ")"), row), text);
     }
+    const Row mistyped = {{Field::Tasks, "five"}};
+    BOOST_TEST(!evaluate(condition("tasks = 5 or tasks < 5 or tasks > 5"), mistyped));
+    BOOST_TEST(evaluate(condition("tasks != 5"), mistyped));
 }
 
 BOOST_AUTO_TEST_CASE(RowsAreChosenOrderedAndLimited)
@@ -178,6 +183,19 @@
     BOOST_TEST(countRows(std::get<ShowCount>(parsed("show count of jobs")), rows) == 4U);
 }
 
+BOOST_AUTO_TEST_CASE(RowsOfEqualOrderStayInTheirOrder)
+{
+    std::vector<Row> rows;
+    for (int number = 0; number < 200; ++number) {
+        rows.push_back({{Field::Tasks, double(number % 2)}, {Field::Started, double(number)}});
+    }
+    const auto ordered = selectRows(std::get<ShowRows>(parsed("show jobs order by tasks")), rows);
+    for (std::size_t place = 0; place < rows.size(); ++place) {
+        const std::size_t number = place < 100 ? 2 * place : 2 * (place - 100) + 1;
+        BOOST_TEST((ordered[place] == rows[number]));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(TheExamplesOfThePageParse)
 {
     const auto examples = linesOfSection("Examples");
