--- a/src/daemon/fleet_yaml.cpp
+++ b/src/daemon/fleet_yaml.cpp
@@ -12,6 +12,15 @@
 
 using Json = nlohmann::ordered_json;
 
+std::string joinPath(std::string path, std::string_view rest)
+{
+    if (!path.empty()) {
+        path += '.';
+    }
+    path += rest;
+    return path;
+}
+
 /** Turns YAML into JSON and remembers the line of each path. */
 class YamlToJson
 {
@@ -56,7 +65,7 @@
         Json object = Json::object();
         for (const auto &entry : node) {
             const std::string name = entry.first.Scalar();
-            const std::string memberPath = path.empty() ? name : path + "." + name;
+            const std::string memberPath = joinPath(path, name);
             if (object.contains(name)) {
                 Error error = makeError(ErrorCode::BadInput, "expected each key once", memberPath);
                 this->duplicateKeys.push_back(LinedError{lineOf(entry.first), std::move(error)});
@@ -110,7 +119,7 @@
     }
     for (LinedError &found : errors) {
         const std::string &path = found.error.field;
-        found.error.field = path == "$" ? key : key + "." + path;
+        found.error.field = path == "$" ? key : joinPath(key, path);
     }
     if (!errors.empty()) {
         return errors;
--- a/src/daemon/settings_value.cpp
+++ b/src/daemon/settings_value.cpp
@@ -137,7 +137,7 @@
 
 Result<std::int64_t> readNumber(const Setting &setting, std::string_view text)
 {
-    const Result<std::int64_t> number = readInBaseUnit(setting, text);
+    Result<std::int64_t> number = readInBaseUnit(setting, text);
     if (!number || number.value() < setting.range.low || number.value() > setting.range.high) {
         return wrongValue(setting);
     }
