Fewer probes and fewer tasks on failing endpoints

Change: an attempt is overdue at twice the longest recent run time of its kind; an endpoint that answered something since is not probed; unreachable endpoints are probed with doubling pauses; ejections start at 2 s and double to 60 s. A probe that fails moves overdue idempotent attempts elsewhere as well.

--- a/src/blackboard/endpoint_base.h
+++ b/src/blackboard/endpoint_base.h
@@ -40,6 +40,9 @@
     TimePoint ejectedUntil{}; ///< End of the present ejection.
     TimePoint busyUntil{}; ///< It refused for lack of a slot; no new work before this time.
     TimePoint refusedLeavingAt{}; ///< When it last said that it is leaving.
+    TimePoint answeredAt{}; ///< When it last answered a task or a probe.
+    TimePoint nextProbe{}; ///< When it may be probed again while it is unreachable.
+    Duration probePause{}; ///< Pause between probes while it is unreachable; doubles.
     ProbeId probe; ///< Probe in flight; 0 if none.
     double slowness = 1.0; ///< Smoothed ratio of its run times to those expected.
     std::size_t availableIndex = 0; ///< Position in the list of available endpoints, plus one; 0 if not in it.
--- a/src/blackboard/run_time.cpp
+++ b/src/blackboard/run_time.cpp
@@ -10,6 +10,7 @@
 constexpr double BucketsPerOctave = 4.0;
 constexpr double PriorWeight = 4.0; // samples
 constexpr double FadeLimit = 2048.0; // samples
+constexpr float FadedWeight = 0.01F; // weight below which a sample counts no more
 
 std::size_t bucketOf(Duration runTime, std::size_t bucketCount)
 {
@@ -54,6 +55,16 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(this->weightedSum / this->total));
 }
 
+Duration RunTimeEstimate::longest() const
+{
+    for (std::size_t bucket = BucketCount; bucket-- > 0;) {
+        if (this->buckets[bucket] >= FadedWeight) {
+            return upperEdge(bucket);
+        }
+    }
+    return upperEdge(0);
+}
+
 Duration RunTimeEstimate::quantile(double fraction) const
 {
     double remaining = fraction * this->total;
--- a/src/blackboard/run_time_base.h
+++ b/src/blackboard/run_time_base.h
@@ -38,6 +38,9 @@
      */
     Duration quantile(double fraction) const;
 
+    /** @return Upper edge of the highest bucket that a sample of recent times is in. */
+    Duration longest() const;
+
     /** @return Number of measured samples so far. */
     std::uint64_t samples() const
     {
--- a/src/controllers/coordinator.cpp
+++ b/src/controllers/coordinator.cpp
@@ -107,7 +107,7 @@
     , drains(board, outbox, platform, endpoints)
 {
     this->board.identity = std::move(options.identity);
-    this->endpoints.onProbeAnswered([this](EndpointId id) { this->dispatch.endpointAnswered(id); });
+    this->endpoints.onProbeEnded([this](EndpointId id) { this->dispatch.endpointProbed(id); });
     this->lease.onRegained([this] { this->dispatch.leaseRegained(); });
     this->commits.onFenced([this] {
         this->outbox.log("fenced");
--- a/src/controllers/dispatch_controller.cpp
+++ b/src/controllers/dispatch_controller.cpp
@@ -15,10 +15,9 @@
 constexpr Duration TrustedIdleNonIdempotent = std::chrono::seconds(2);
 constexpr Duration TrustedIdleIdempotent = std::chrono::seconds(20);
 constexpr double HedgeQuantile = 0.97;
-constexpr double OverdueQuantile = 0.99;
-constexpr int OverdueFactor = 3;
+constexpr int OverdueFactor = 2; // times the longest recent run time
 constexpr Duration ShortestOverdue = std::chrono::milliseconds(500);
-constexpr int LimitFactor = 20;
+constexpr int LimitFactor = 10; // times the longest recent run time
 constexpr Duration ShortestLimit = std::chrono::seconds(10);
 constexpr double SlownessSmoothing = 0.05;
 
@@ -169,7 +168,7 @@
     if (attempt.idempotent && kind != nullptr && kind->hedged) {
         this->checks.add(this->board.now + runTime.quantile(HedgeQuantile), Check{attempt.id, CheckKind::Hedge});
     }
-    const Duration high = runTime.quantile(OverdueQuantile);
+    const Duration high = runTime.longest();
     this->checks.add(this->board.now + std::max(ShortestOverdue, high * OverdueFactor), Check{attempt.id, CheckKind::Overdue});
     this->checks.add(this->board.now + std::max(ShortestLimit, high * LimitFactor), Check{attempt.id, CheckKind::Limit});
 }
@@ -206,7 +205,9 @@
         break;
     case CheckKind::Overdue:
         attempt.overdue = true;
-        if (endpoint != nullptr) {
+        if (endpoint != nullptr && endpoint->answeredAt > attempt.startedAt) {
+            this->endpointProbed(endpoint->id);
+        } else if (endpoint != nullptr) {
             this->endpoints.probe(*endpoint);
         }
         break;
@@ -241,7 +242,7 @@
     this->outbox.emit(AbandonAttempt{attempt.id});
 }
 
-void DispatchController::endpointAnswered(EndpointId endpoint)
+void DispatchController::endpointProbed(EndpointId endpoint)
 {
     for (auto &[id, attempt] : this->attempts) {
         if (attempt.endpoint == endpoint && attempt.overdue && attempt.idempotent && !attempt.abandoned) {
--- a/src/controllers/dispatch_controller.h
+++ b/src/controllers/dispatch_controller.h
@@ -38,8 +38,11 @@
     /** Take in the end of an attempt. */
     void handle(AttemptEnded ended);
 
-    /** Take in that an endpoint answered a probe on a new connection: overdue attempts on old ones are suspect. */
-    void endpointAnswered(EndpointId endpoint);
+    /**
+     * Take in that an endpoint was probed on a new connection. If it answered, the connections of overdue attempts are
+     * suspect; if it did not, the endpoint is. Either way overdue attempts at idempotent tasks are made elsewhere.
+     */
+    void endpointProbed(EndpointId endpoint);
 
     /** Queue again the tasks that waited for the start lease. */
     void leaseRegained();
--- a/src/controllers/endpoint_controller.cpp
+++ b/src/controllers/endpoint_controller.cpp
@@ -10,8 +10,10 @@
 
 constexpr std::uint32_t FailuresToEject = 3; // tasks in a row
 constexpr std::uint32_t ConnectFailuresToUnreachable = 2; // connects in a row
-constexpr Duration FirstEjection = std::chrono::seconds(1);
-constexpr Duration LongestEjection = std::chrono::seconds(30);
+constexpr Duration FirstEjection = std::chrono::seconds(2);
+constexpr Duration LongestEjection = std::chrono::seconds(60);
+constexpr Duration FirstProbePause = std::chrono::milliseconds(500);
+constexpr Duration LongestProbePause = std::chrono::seconds(8);
 constexpr Duration BusyPause = std::chrono::milliseconds(20);
 constexpr Duration ProbeTimeout = std::chrono::milliseconds(300);
 constexpr Duration LeavingRecheck = std::chrono::seconds(2);
@@ -25,9 +27,9 @@
 {
 }
 
-void EndpointController::onProbeAnswered(std::function<void(EndpointId)> handler)
+void EndpointController::onProbeEnded(std::function<void(EndpointId)> handler)
 {
-    this->probeAnswered = std::move(handler);
+    this->probeEnded = std::move(handler);
 }
 
 void EndpointController::handle(const InstanceList &list)
@@ -119,6 +121,7 @@
     }
     switch (evidence) {
     case EndpointEvidence::Succeeded:
+        endpoint->answeredAt = this->board.now;
         endpoint->failuresInRow = 0;
         endpoint->connectFailuresInRow = 0;
         if (endpoint->lifecycle.apply(EndpointSignal::TrialSucceeded)) {
@@ -237,17 +240,22 @@
     }
     endpoint->probe = ProbeId();
     if (!ended.answered) {
+        endpoint->probePause = std::clamp(endpoint->probePause * 2, FirstProbePause, LongestProbePause);
+        endpoint->nextProbe = this->board.now + endpoint->probePause;
         endpoint->connectFailuresInRow = ConnectFailuresToUnreachable;
         endpoint->lifecycle.apply(EndpointSignal::ConnectFailed);
         this->refresh(*endpoint);
+        this->probeEnded(id);
         return;
     }
     endpoint->connectFailuresInRow = 0;
+    endpoint->probePause = Duration::zero();
+    endpoint->answeredAt = this->board.now;
     endpoint->lifecycle.apply(EndpointSignal::ProbeAnswered);
     endpoint->departure.refused = ended.leaving;
     endpoint->refusedLeavingAt = this->board.now;
     this->applyDeparture(*endpoint);
-    this->probeAnswered(id);
+    this->probeEnded(id);
 }
 
 void EndpointController::advance()
@@ -263,7 +271,8 @@
         }
         const bool saidLeaving = state == EndpointState::Leaving && endpoint.departure.refused && !endpoint.departure.listed;
         const bool recheck = saidLeaving && this->board.now - endpoint.refusedLeavingAt > LeavingRecheck;
-        if (state == EndpointState::Unreachable || recheck) {
+        const bool probeDue = state == EndpointState::Unreachable && this->board.now >= endpoint.nextProbe;
+        if (probeDue || recheck) {
             this->probe(endpoint);
         }
         this->refresh(endpoint);
--- a/src/controllers/endpoint_controller.h
+++ b/src/controllers/endpoint_controller.h
@@ -64,8 +64,8 @@
     /** @return When advance() has to be called next. */
     TimePoint nextDeadline() const;
 
-    /** Set what is called when a probe was answered. */
-    void onProbeAnswered(std::function<void(EndpointId)> handler);
+    /** Set what is called when a probe has ended, answered or not. */
+    void onProbeEnded(std::function<void(EndpointId)> handler);
 
 private:
     void addOrUpdate(const ListedEndpoint &listed);
@@ -80,7 +80,7 @@
     std::unordered_map<ProbeId, EndpointId> probes; ///< Probes in flight.
     std::uint64_t lastProbe = 0; ///< Last number given.
     TimePoint nextCheck{}; ///< When advance() is due.
-    std::function<void(EndpointId)> probeAnswered; ///< Called when a probe was answered.
+    std::function<void(EndpointId)> probeEnded; ///< Called when a probe has ended.
 };
 
 } // namespace Tanagertally
