Adapter tests: wait for what is needed instead of for a time

Trials of broken code under load showed AbandonMidWriteIsLost failing for a fault that wasn't there: the connection was not open yet when the attempt was abandoned. It and its likes now wait for the event itself.

--- a/src/endpoint/tests/test_server.h
+++ b/src/endpoint/tests/test_server.h
@@ -60,6 +60,13 @@
     {
         this->send("HTTP/1.1 " + status + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n" + fields + "\r\n" + body);
     }
+    /** Wait for the first byte of a request and leave the rest unread. */
+    void awaitByte()
+    {
+        char byte = 0;
+        boost::system::error_code ignored;
+        this->socket.read_some(boost::asio::buffer(&byte, 1), ignored);
+    }
     /** Wait without reading a request until the client or the server has closed. */
     void awaitClose()
     {
