Control loop answers calls before and after the listener closes; fixture's ports don't clash

A balancer learns late that an instance is not ready, so the listener stays open while calls keep coming (at most 2 s) and each is refused by the decision part instead of being reset.

--- a/src/daemon/control_thread.h
+++ b/src/daemon/control_thread.h
@@ -63,7 +63,7 @@
     /** Events after which actions are carried out, even if more events wait. */
     static constexpr std::size_t MaxEventsPerBatch = 256;
     /** After Exit, time without calls after which nothing more is expected. */
-    static constexpr Duration ExitQuiet = std::chrono::milliseconds(50);
+    static constexpr Duration ExitQuiet = std::chrono::milliseconds(200);
     /** Longest time after Exit in which late calls are still answered. */
     static constexpr Duration MaxExitLinger = std::chrono::seconds(2);
 
@@ -84,13 +84,18 @@
         return std::unique_ptr<ControlThread>(new ControlThread(std::move(coordinator), events, adapters, board));
     }
 
-    /** Work until the decision part asks for Exit; then answer what still comes in, and close the adapters. */
+    /**
+     * Work until the decision part asks for Exit, then close the adapters. Between the two, calls are still answered, as
+     * long as they keep coming: first by an open listener, since the balancer learns late that this instance is not ready,
+     * then on the connections that are left.
+     */
     void run()
     {
         this->advanceIfDue(true);
         while (!this->exiting) {
             this->step(this->wakeTime());
         }
+        this->answerLateCalls();
         this->adapterSet.stopAccepting();
         this->answerLateCalls();
         this->adapterSet.close();
@@ -170,7 +175,7 @@
         }
     }
 
-    /** A request that was read just before the listener closed is still answered by the decision part. */
+    /** Have calls answered by the decision part until no more come, or for MaxExitLinger. */
     void answerLateCalls()
     {
         const TimePoint deadline = this->clock.now() + MaxExitLinger;
--- a/src/daemon/tests/control_thread_test.cpp
+++ b/src/daemon/tests/control_thread_test.cpp
@@ -12,6 +12,7 @@
 /** Notes what it is asked to do. */
 struct FakeAdapters {
     std::vector<std::string> calls; ///< What was asked, in order.
+    EventQueue *events = nullptr; ///< If set, gets a submission that was read just before the listener closed.
 
     template<typename ActionType>
     void carryOut(const ActionType &action)
@@ -25,6 +26,11 @@
     void stopAccepting()
     {
         this->calls.emplace_back("stopAccepting");
+        if (this->events != nullptr) {
+            JobSubmitted submitted;
+            submitted.request = RequestId(4);
+            this->events->push(submitted);
+        }
     }
     void close()
     {
@@ -93,6 +99,7 @@
 {
     EventQueue events;
     FakeAdapters adapters;
+    adapters.events = &events;
     StatsBoard board;
     const auto control = ControlThread<FakeAdapters>::create(std::make_unique<FakeCoordinator>(), events, adapters, board);
     BOOST_REQUIRE(control);
@@ -106,9 +113,10 @@
     });
     control.value()->run();
     late.join();
-    const std::vector<std::string> expected{"ready", "reply 1", "not ready", "reply 2", "not ready", "stopAccepting", "reply 3", "close"};
+    const std::vector<std::string> expected{"ready",   "reply 1",       "not ready", "reply 2", "not ready",
+                                            "reply 3", "stopAccepting", "reply 4",   "close"};
     BOOST_TEST(adapters.calls == expected, boost::test_tools::per_element());
-    BOOST_TEST(board.read().events == 5u);
+    BOOST_TEST(board.read().events == 6u);
 }
 
 BOOST_AUTO_TEST_CASE(DeadlinesAreMetWithoutEvents)
--- a/tests/process/process_fixture.cpp
+++ b/tests/process/process_fixture.cpp
@@ -15,6 +15,10 @@
 namespace {
 
 constexpr auto PollInterval = std::chrono::milliseconds(10);
+// Below the range from which the system gives ports to outgoing connections.
+constexpr std::uint32_t FirstPort = 20'000;
+constexpr std::uint32_t PortCount = 12'000;
+constexpr std::uint32_t PortsPerProcess = 100; ///< Keeps processes that run at once apart.
 constexpr const char *Loopback = "127.0.0.1:";
 
 constexpr const char *SettingsRest = R"(peer:
@@ -66,9 +70,17 @@
 
 std::uint16_t freePort()
 {
-    boost::asio::io_context io;
-    const boost::asio::ip::tcp::acceptor acceptor(io, {boost::asio::ip::address_v4::loopback(), 0});
-    return acceptor.local_endpoint().port();
+    static std::uint32_t next = static_cast<std::uint32_t>(getpid()) * PortsPerProcess;
+    for (;;) {
+        const auto port = static_cast<std::uint16_t>(FirstPort + next++ % PortCount);
+        boost::asio::io_context io;
+        boost::asio::ip::tcp::acceptor acceptor(io, boost::asio::ip::tcp::v4());
+        boost::system::error_code error;
+        acceptor.bind({boost::asio::ip::address_v4::loopback(), port}, error);
+        if (!error) {
+            return port;
+        }
+    }
 }
 
 bool waitUntil(const std::function<bool()> &condition, std::chrono::milliseconds timeout)
--- a/tests/process/process_fixture.h
+++ b/tests/process/process_fixture.h
@@ -16,7 +16,7 @@
 inline constexpr const char *TeamKeyText = "team-secret-0123456789"; ///< Secret of the team "app".
 inline constexpr const char *OperatorKeyText = "operator-secret-0123456789"; ///< Secret of the operator "amal".
 
-/** A folder for the files of one test, removed at its end unless the test failed. */
+/** A folder for the files of one test, removed at its end unless TANAGERTALLY_KEEP_FILES is set. */
 class TemporaryFolder
 {
 public:
@@ -32,7 +32,7 @@
     std::filesystem::path path; ///< The folder.
 };
 
-/** @return A TCP port on loopback that nothing listens at. */
+/** @return A TCP port on loopback that nothing listens at and that this process has not been given before. */
 std::uint16_t freePort();
 
 /** Wait until a condition holds. @return Whether it came to hold within the time. */
