--- a/bench/session/session_callers.cpp
+++ b/bench/session/session_callers.cpp
@@ -95,7 +95,8 @@
 void Session::operate(std::uint32_t instance, const OperatorName &by, const std::string &text, bool dryRun)
 {
     this->trace(fmt::format("operator {} at e{}: {}", by.value, instance, text));
-    this->deliver(instance, this->instances[instance].life, OperatorAsked{RequestId(), by, text, dryRun});
+    this->deliver(instance, this->instances[instance].life,
+                  OperatorAsked{RequestId(), by, text, dryRun, std::chrono::duration_cast<std::chrono::milliseconds>(this->now()).count()});
 }
 
 void Session::on(std::uint32_t instance, ReplyToCaller &action)
--- a/src/blackboard/task_queue.cpp
+++ b/src/blackboard/task_queue.cpp
@@ -4,16 +4,29 @@
 
 namespace Tanagertally {
 
-TaskQueue::Lane &TaskQueue::laneFor(Urgency urgency, const TeamName &team, std::uint32_t weight, const KindName &kind)
+namespace {
+
+constexpr std::array<std::uint32_t, 3> SizeLimits = {2, 9, 65}; // tasks; from each of these a job is in the next class
+constexpr std::uint32_t LargestFirstEvery = 8; // tasks
+
+} // namespace
+
+std::size_t TaskQueue::sizeClassOf(std::uint32_t jobTasks)
+{
+    const auto *const end = std::upper_bound(SizeLimits.begin(), SizeLimits.end(), jobTasks);
+    return static_cast<std::size_t>(end - SizeLimits.begin());
+}
+
+TaskQueue::Lane &TaskQueue::laneFor(const QueueRank &rank, const TeamName &team, const KindName &kind)
 {
-    UrgencyClass &urgencyClass = this->classes[static_cast<std::size_t>(urgency)];
-    const auto found = urgencyClass.byTeam.find(team);
-    if (found == urgencyClass.byTeam.end()) {
-        urgencyClass.ring.push_back(TeamQueue{team, weight, weight, 0, {}});
-        urgencyClass.byTeam[team] = std::prev(urgencyClass.ring.end());
+    RankClass &rankClass = this->classes[static_cast<std::size_t>(rank.urgency)][sizeClassOf(rank.jobTasks)];
+    const auto found = rankClass.byTeam.find(team);
+    if (found == rankClass.byTeam.end()) {
+        rankClass.ring.push_back(TeamQueue{team, rank.teamWeight, rank.teamWeight, 0, {}});
+        rankClass.byTeam[team] = std::prev(rankClass.ring.end());
     }
-    TeamQueue &queue = *urgencyClass.byTeam[team];
-    queue.weight = weight;
+    TeamQueue &queue = *rankClass.byTeam[team];
+    queue.weight = rank.teamWeight;
     const auto lane = std::find_if(queue.lanes.begin(), queue.lanes.end(), [&](const Lane &one) { return one.kind == kind; });
     if (lane != queue.lanes.end()) {
         return *lane;
@@ -22,15 +35,15 @@
     return queue.lanes.back();
 }
 
-void TaskQueue::pushBack(Urgency urgency, const TeamName &team, std::uint32_t weight, QueuedTask task)
+void TaskQueue::pushBack(const QueueRank &rank, const TeamName &team, QueuedTask task)
 {
-    Lane &lane = this->laneFor(urgency, team, weight, task.kind);
+    Lane &lane = this->laneFor(rank, team, task.kind);
     lane.tasks.push_back(std::move(task));
 }
 
-void TaskQueue::pushFront(Urgency urgency, const TeamName &team, std::uint32_t weight, QueuedTask task)
+void TaskQueue::pushFront(const QueueRank &rank, const TeamName &team, QueuedTask task)
 {
-    Lane &lane = this->laneFor(urgency, team, weight, task.kind);
+    Lane &lane = this->laneFor(rank, team, task.kind);
     lane.tasks.push_front(std::move(task));
 }
 
@@ -61,15 +74,15 @@
     return std::nullopt;
 }
 
-std::optional<QueuedTask> TaskQueue::takeFromClass(UrgencyClass &urgencyClass, const Judge &judge)
+std::optional<QueuedTask> TaskQueue::takeFromClass(RankClass &rankClass, const Judge &judge)
 {
     std::size_t looked = 0;
-    while (looked < urgencyClass.ring.size()) {
-        TeamQueue &team = urgencyClass.ring.front();
+    while (looked < rankClass.ring.size()) {
+        TeamQueue &team = rankClass.ring.front();
         std::optional<QueuedTask> task = takeFromTeam(team, judge);
         if (team.lanes.empty()) {
-            urgencyClass.byTeam.erase(team.team);
-            urgencyClass.ring.pop_front();
+            rankClass.byTeam.erase(team.team);
+            rankClass.ring.pop_front();
             continue;
         }
         if (task && team.deficit > 1) {
@@ -77,7 +90,7 @@
             return task;
         }
         team.deficit = team.weight;
-        urgencyClass.ring.splice(urgencyClass.ring.end(), urgencyClass.ring, urgencyClass.ring.begin());
+        rankClass.ring.splice(rankClass.ring.end(), rankClass.ring, rankClass.ring.begin());
         if (task) {
             return task;
         }
@@ -88,10 +101,15 @@
 
 std::optional<QueuedTask> TaskQueue::take(const Judge &judge)
 {
-    for (UrgencyClass &urgencyClass : this->classes) {
-        std::optional<QueuedTask> task = takeFromClass(urgencyClass, judge);
-        if (task) {
-            return task;
+    const bool largestFirst = this->takes % LargestFirstEvery == LargestFirstEvery - 1;
+    for (std::array<RankClass, SizeCount> &sizes : this->classes) {
+        for (std::size_t step = 0; step < SizeCount; ++step) {
+            RankClass &rankClass = sizes[largestFirst ? SizeCount - 1 - step : step];
+            std::optional<QueuedTask> task = takeFromClass(rankClass, judge);
+            if (task) {
+                ++this->takes;
+                return task;
+            }
         }
     }
     return std::nullopt;
--- a/src/blackboard/task_queue_base.h
+++ b/src/blackboard/task_queue_base.h
@@ -22,9 +22,19 @@
     KindName kind; ///< Its kind.
 };
 
+/** Where a task stands in the order of the queue. */
+struct QueueRank {
+    Urgency urgency = Urgency::Normal; ///< More urgent ones come first.
+    std::uint32_t jobTasks = 1; ///< Number of tasks of its job; smaller jobs come first.
+    std::uint32_t teamWeight = 1; ///< Share of its team; at least 1.
+};
+
 /**
- * Waiting tasks by urgency, then shared between teams by deficit round robin, then by kind, then first in first out.
+ * Waiting tasks by urgency, then by size of their job, then shared between teams by deficit round robin, then by kind, then
+ * first in first out.
  *
+ * Small jobs come first because the response time of a job is judged against its own run time: a lookup that waits behind a job
+ * of many tasks loses more than that job gains. Every few tasks the largest jobs come first, so that they are not starved.
  * Tasks of jobs that ended stay in the queue until they come up; the owner drops them then, so that a cancellation costs
  * one step whatever the queue's length.
  * Method: M. Shreedhar and G. Varghese, "Efficient fair queuing using deficit round robin", with a cost of one per task.
@@ -44,15 +54,14 @@
 
     /**
      * Add a task at the end of its lane.
-     * @param urgency Its urgency.
+     * @param rank Where it stands in the order.
      * @param team Its team.
-     * @param weight Share of the team; at least 1.
      * @param task The task.
      */
-    void pushBack(Urgency urgency, const TeamName &team, std::uint32_t weight, QueuedTask task);
+    void pushBack(const QueueRank &rank, const TeamName &team, QueuedTask task);
 
     /** Add a task at the front of its lane; otherwise like pushBack(). */
-    void pushFront(Urgency urgency, const TeamName &team, std::uint32_t weight, QueuedTask task);
+    void pushFront(const QueueRank &rank, const TeamName &team, QueuedTask task);
 
     /**
      * Take the next task that can start.
@@ -77,19 +86,22 @@
         std::vector<Lane> lanes; ///< One lane for each kind that waits.
     };
 
-    /** Waiting tasks of one urgency. */
-    struct UrgencyClass {
+    /** Waiting tasks of one urgency and size of job. */
+    struct RankClass {
         std::list<TeamQueue> ring; ///< Teams with waiting tasks, in round-robin order.
         std::unordered_map<TeamName, std::list<TeamQueue>::iterator> byTeam; ///< Where each team stands in the ring.
     };
 
-    static constexpr std::size_t UrgencyCount = 3; ///< Number of urgency classes.
+    static constexpr std::size_t UrgencyCount = 3; ///< Number of urgencies.
+    static constexpr std::size_t SizeCount = 4; ///< Number of classes of job size.
 
-    Lane &laneFor(Urgency urgency, const TeamName &team, std::uint32_t weight, const KindName &kind);
+    static std::size_t sizeClassOf(std::uint32_t jobTasks);
+    Lane &laneFor(const QueueRank &rank, const TeamName &team, const KindName &kind);
     static std::optional<QueuedTask> takeFromTeam(TeamQueue &team, const Judge &judge);
-    static std::optional<QueuedTask> takeFromClass(UrgencyClass &urgencyClass, const Judge &judge);
+    static std::optional<QueuedTask> takeFromClass(RankClass &rankClass, const Judge &judge);
 
-    std::array<UrgencyClass, UrgencyCount> classes; ///< One class for each urgency.
+    std::array<std::array<RankClass, SizeCount>, UrgencyCount> classes; ///< Classes by urgency and size.
+    std::uint32_t takes = 0; ///< Counts tasks taken.
 };
 
 } // namespace Tanagertally
--- a/src/controllers/coordinator.cpp
+++ b/src/controllers/coordinator.cpp
@@ -2,6 +2,7 @@
 
 #include "controllers/drain_controller.h"
 #include "controllers/member_controller.h"
+#include "controllers/operator_controller.h"
 #include "controllers/recovery_controller.h"
 #include "controllers/request_controller.h"
 
@@ -84,6 +85,7 @@
     SlotController slots; ///< Lending of slots.
     MemberController members; ///< Peers.
     DrainController drains; ///< Drains.
+    OperatorController operators; ///< Queries and commands of operators.
     InstanceState reported = InstanceState::Learning; ///< State that the adapters were told.
 };
 
@@ -105,6 +107,7 @@
     , slots(board, outbox, endpoints)
     , members(board, outbox, config, slots, endpoints, std::move(options.peers))
     , drains(board, outbox, platform, endpoints)
+    , operators(board, outbox, platform, config, drains, jobs)
 {
     this->board.identity = std::move(options.identity);
     this->endpoints.onProbeEnded([this](EndpointId id) { this->dispatch.endpointProbed(id); });
@@ -119,7 +122,7 @@
 {
     assert(now >= this->board.now);
     this->board.now = now;
-    this->outbox.collectInto(actions);
+    this->outbox.collectInto(actions, now);
 }
 
 void CoordinatorImpl::handle(TimePoint now, Event event, ActionList &actions)
@@ -142,6 +145,7 @@
     this->config.advance();
     this->members.advance();
     this->drains.advance();
+    this->operators.advance();
     this->keys.advance();
     this->finish();
 }
@@ -162,7 +166,7 @@
     const std::array deadlines
         = {this->board.now + LongestSleep, this->lease.nextDeadline(),    this->endpoints.nextDeadline(), this->dispatch.nextDeadline(),
            this->jobs.nextDeadline(),      this->forwards.nextDeadline(), this->durables.nextDeadline(),  this->recovery.nextDeadline(),
-           this->config.nextDeadline(),    this->members.nextDeadline(),  this->drains.nextDeadline()};
+           this->config.nextDeadline(),    this->members.nextDeadline(),  this->drains.nextDeadline(),    this->operators.nextDeadline()};
     return std::max(this->board.now, *std::min_element(deadlines.begin(), deadlines.end()));
 }
 
@@ -227,7 +231,7 @@
 
 void CoordinatorImpl::on(OperatorAsked &event)
 {
-    this->outbox.emit(ReplyToOperator{event.request, makeError(ErrorCode::Unavailable, "the operators' language is not served yet"), {}});
+    this->operators.handle(event);
 }
 
 void CoordinatorImpl::on(AttemptEnded &event)
--- a/src/controllers/dispatch_controller.cpp
+++ b/src/controllers/dispatch_controller.cpp
@@ -83,12 +83,13 @@
     const Urgency urgency = kindConfig == nullptr ? Urgency::Normal : kindConfig->urgency;
     const TeamConfig *teamConfig = findTeam(this->board.config, job.team);
     const std::uint32_t weight = teamConfig == nullptr ? 1 : std::max(1U, teamConfig->weight);
+    const QueueRank rank{urgency, static_cast<std::uint32_t>(job.tasks.size()), weight};
     QueuedTask queued{job.id, task, kind};
     if (front) {
-        this->board.queue.pushFront(urgency, job.team, weight, std::move(queued));
+        this->board.queue.pushFront(rank, job.team, std::move(queued));
         return;
     }
-    this->board.queue.pushBack(urgency, job.team, weight, std::move(queued));
+    this->board.queue.pushBack(rank, job.team, std::move(queued));
 }
 
 void DispatchController::enqueue(JobRecord &job, std::uint32_t first, std::uint32_t last)
@@ -300,6 +301,9 @@
     if (task.state == TaskState::Ended) {
         return;
     }
+    if (ended.outcome != AttemptOutcome::Succeeded) {
+        this->noteFailure(*job, attempt, ended);
+    }
     switch (ended.outcome) {
     case AttemptOutcome::Succeeded:
         this->succeeded(*job, attempt, ended);
@@ -319,6 +323,18 @@
     }
 }
 
+void DispatchController::noteFailure(const JobRecord &job, const Attempt &attempt, const AttemptEnded &ended)
+{
+    constexpr std::array<std::string_view, 7> Names
+        = {"succeeded", "task-failed", "endpoint-failed", "refused-busy", "refused-leaving", "not-delivered", "lost"};
+    const EndpointRecord *endpoint = this->board.endpoints.find(attempt.endpoint);
+    this->outbox.note("attempt-ended", {{"key", job.key.value},
+                                        {"task", std::to_string(attempt.task)},
+                                        {"worker", endpoint == nullptr ? std::string() : endpoint->listed.worker.value},
+                                        {"outcome", std::string(Names.at(static_cast<std::size_t>(ended.outcome)))},
+                                        {"error", ended.error}});
+}
+
 void DispatchController::succeeded(JobRecord &job, const Attempt &attempt, AttemptEnded &ended)
 {
     endTask(this->board, job, attempt.task, TaskAnswer{Verdict::Ran, true, std::move(ended.output), {}});
@@ -381,6 +397,8 @@
         return;
     }
     ++this->board.stats.retries;
+    this->outbox.note("retry",
+                      {{"key", job.key.value}, {"task", std::to_string(task)}, {"attempts", std::to_string(job.tasks[task].attempts)}});
     this->queueTask(job, task, true);
 }
 
--- a/src/controllers/dispatch_controller.h
+++ b/src/controllers/dispatch_controller.h
@@ -96,6 +96,7 @@
     void abandon(Attempt &attempt);
     void release(const Attempt &attempt);
     void settle(const Attempt &attempt, AttemptEnded &ended);
+    void noteFailure(const JobRecord &job, const Attempt &attempt, const AttemptEnded &ended);
     void succeeded(JobRecord &job, const Attempt &attempt, AttemptEnded &ended);
     void didNotStart(JobRecord &job, const Attempt &attempt);
     void failedOrLost(JobRecord &job, const Attempt &attempt, const AttemptEnded &ended);
--- a/src/controllers/drain_controller.cpp
+++ b/src/controllers/drain_controller.cpp
@@ -109,6 +109,11 @@
 
 void DrainController::apply()
 {
+    const InstanceName &self = this->board.identity.name;
+    const auto drainsSelf = [&](const DrainRow &drain) { return drain.scope == DrainScope::Instance && drain.name == self.value; };
+    if (std::any_of(this->rows.begin(), this->rows.end(), drainsSelf)) {
+        this->board.lifecycle.apply(InstanceSignal::StopAsked);
+    }
     for (auto &[id, endpoint] : this->board.endpoints.all()) {
         this->endpoints.setDrained(endpoint.listed.worker, this->isDrained(endpoint));
     }
--- a/src/controllers/event_type.h
+++ b/src/controllers/event_type.h
@@ -49,6 +49,7 @@
     OperatorName by; ///< The operator.
     std::string text; ///< Text in the operators' language.
     bool dryRun = false; ///< Check only, without effect.
+    std::int64_t wallClockMs = 0; ///< Wall-clock time in ms since the epoch, for the audit trail.
 };
 
 /** How an attempt ended, by the evidence that the endpoint adapter has. */
--- a/src/controllers/member_controller.cpp
+++ b/src/controllers/member_controller.cpp
@@ -78,6 +78,7 @@
 {
     PeerRecord &peer = this->board.peers.add(up.peer, up.hello.identity);
     peer.connectedAt = this->board.now;
+    this->board.domainLostAt.erase(peer.identity.domain);
     this->outbox.log("peer-up", {{"instance", peer.identity.name.value}, {"domain", peer.identity.domain.value}});
     this->outbox.emit(SendToPeer{peer.id, this->makeHeartbeat()});
     this->config.peerUp(peer);
@@ -96,7 +97,13 @@
     this->outbox.log("peer-down", {{"instance", peer->identity.name.value}, {"domain", peer->identity.domain.value}});
     this->slots.peerDown(*peer);
     const bool ownDomain = this->isOwnDomain(*peer);
+    const FailureDomain domain = peer->identity.domain;
     this->board.peers.remove(id);
+    const auto &left = this->board.peers.all();
+    const bool connected = std::any_of(left.begin(), left.end(), [&](const auto &entry) { return entry.second.identity.domain == domain; });
+    if (!connected && !ownDomain) {
+        this->board.domainLostAt[domain] = this->board.now;
+    }
     if (ownDomain) {
         this->endpoints.recomputeShares();
     }
--- /dev/null
+++ b/src/controllers/operator_controller.cpp
@@ -0,0 +1,420 @@
+#include "controllers/operator_controller.h"
+
+#include "controllers/query_rows.h"
+#include "language/language_func.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace Tanagertally {
+
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+constexpr Duration QueryTimeout = std::chrono::milliseconds(500);
+constexpr Duration AuditTimeout = std::chrono::seconds(2);
+constexpr std::uint32_t AuditLimit = 1000; // rows
+constexpr std::string_view AuditPrefix = "audit/";
+
+/** @return Whether a statement changes anything. */
+bool isCommand(const Statement &statement)
+{
+    return !std::holds_alternative<ShowRows>(statement) && !std::holds_alternative<ShowCount>(statement)
+           && !std::holds_alternative<ExplainJob>(statement) && !std::holds_alternative<ExplainEndpoint>(statement)
+           && !std::holds_alternative<ExplainRefusal>(statement);
+}
+
+bool isCancel(const Statement &statement)
+{
+    return std::holds_alternative<CancelJob>(statement) || std::holds_alternative<CancelJobs>(statement);
+}
+
+/** @return Decisions about one thing as rows of the audit subject: what happened, in order. */
+std::vector<Row> trailRows(const Blackboard &board, const std::vector<const TrailEntry *> &entries)
+{
+    std::vector<Row> rows;
+    for (const TrailEntry *entry : entries) {
+        std::string line(entry->event);
+        for (const LogField &field : entry->fields) {
+            line += fmt::format(" {}={}", field.key, field.value);
+        }
+        rows.push_back(Row{{Field::Age, board.now - entry->at}, {Field::By, board.identity.name.value}, {Field::Text, std::move(line)}});
+    }
+    return rows;
+}
+
+/** What a drain names, as it is kept in the table. */
+struct DrainName {
+    DrainScope scope = DrainScope::Worker; ///< Kind of thing.
+    std::string name; ///< Its name.
+};
+
+/** Tells what a drain names. */
+struct DrainNameOf {
+    DrainName operator()(const WorkerName &worker) const
+    {
+        return {DrainScope::Worker, worker.value};
+    }
+    DrainName operator()(const RackName &rack) const
+    {
+        return {DrainScope::Rack, rack.value};
+    }
+    DrainName operator()(const InstanceName &instance) const
+    {
+        return {DrainScope::Instance, instance.value};
+    }
+    DrainName operator()(const FailureDomain &domain) const
+    {
+        return {DrainScope::Domain, domain.value};
+    }
+};
+
+} // namespace
+
+OperatorController::OperatorController(Blackboard &board, Outbox &outbox, PlatformCalls &platform, ConfigController &config,
+                                       DrainController &drains, JobController &jobs)
+    : board(board)
+    , outbox(outbox)
+    , platform(platform)
+    , config(config)
+    , drains(drains)
+    , jobs(jobs)
+{
+}
+
+void OperatorController::replyError(RequestId request, Error error)
+{
+    this->outbox.emit(ReplyToOperator{request, std::move(error), {}});
+}
+
+void OperatorController::replyJson(RequestId request, std::string json)
+{
+    this->outbox.emit(ReplyToOperator{request, std::nullopt, std::move(json)});
+}
+
+void OperatorController::handle(const OperatorAsked &asked)
+{
+    Result<Statement> statement = parseStatement(asked.text);
+    if (!statement) {
+        this->replyError(asked.request, statement.error());
+        return;
+    }
+    if (!isCommand(statement.value())) {
+        const auto *rows = std::get_if<ShowRows>(&statement.value());
+        if (rows != nullptr && rows->subject == Subject::Audit) {
+            this->askAudit(asked, *rows);
+            return;
+        }
+        this->askFleet(asked, std::move(statement.value()));
+        return;
+    }
+    this->outbox.log("command", {{"by", asked.by.value}, {"text", asked.text}, {"dryrun", asked.dryRun ? "yes" : "no"}});
+    std::visit(
+        [&](const auto &command) {
+            if constexpr (requires { this->execute(asked, command); }) {
+                this->execute(asked, command);
+            }
+        },
+        statement.value());
+}
+
+Subject OperatorController::subjectOf(const Statement &statement) const
+{
+    if (const auto *rows = std::get_if<ShowRows>(&statement)) {
+        return rows->subject;
+    }
+    if (const auto *count = std::get_if<ShowCount>(&statement)) {
+        return count->subject;
+    }
+    return isCancel(statement) ? Subject::Jobs : Subject::Audit;
+}
+
+std::vector<Row> OperatorController::localRows(const Statement &statement)
+{
+    const DecisionTrail &trail = this->outbox.decisions();
+    if (const auto *explained = std::get_if<ExplainJob>(&statement)) {
+        return trailRows(this->board, trail.find("key", explained->key.value));
+    }
+    if (const auto *explained = std::get_if<ExplainEndpoint>(&statement)) {
+        return trailRows(this->board, trail.find("worker", explained->worker.value));
+    }
+    if (const auto *explained = std::get_if<ExplainRefusal>(&statement)) {
+        std::vector<const TrailEntry *> entries;
+        for (const TrailEntry &entry : trail.all()) {
+            if (entry.event == "refused" && entry.number.value == explained->id.value) {
+                entries.push_back(&entry);
+            }
+        }
+        return trailRows(this->board, entries);
+    }
+    std::vector<Row> rows = makeRows(this->subjectOf(statement), this->board, this->config, trail);
+    if (const auto *cancelled = std::get_if<CancelJob>(&statement)) {
+        std::erase_if(rows, [&](const Row &row) { return valueOf(row, Field::Key) != Value(cancelled->key.value); });
+    }
+    if (const auto *cancelled = std::get_if<CancelJobs>(&statement)) {
+        std::erase_if(rows, [&](const Row &row) { return !evaluate(cancelled->where, row); });
+    }
+    return rows;
+}
+
+void OperatorController::askFleet(const OperatorAsked &asked, Statement statement)
+{
+    const ForwardId id(++this->lastId);
+    Pending &query = this->pending[id];
+    query.request = asked.request;
+    query.rows = this->localRows(statement);
+    query.answered.push_back(this->board.identity.domain);
+    query.statement = std::move(statement);
+    for (const auto &[peer, record] : this->board.peers.all()) {
+        query.awaited[peer] = record.identity.domain;
+        this->outbox.emit(SendToPeer{peer, ForwardedQuery{id, asked.text}});
+    }
+    this->deadlines.add(this->board.now + QueryTimeout, id);
+    if (query.awaited.empty()) {
+        this->finish(id);
+    }
+}
+
+void OperatorController::handle(const PeerRecord &peer, const ForwardedQuery &query)
+{
+    const Result<Statement> statement = parseStatement(query.text);
+    if (!statement) {
+        this->outbox.emit(SendToPeer{peer.id, QueryRows{query.id, "[]"}});
+        return;
+    }
+    const std::vector<Row> rows = this->localRows(statement.value());
+    if (isCancel(statement.value())) {
+        for (const Row &row : rows) {
+            const TeamKey name{TeamName(std::get<std::string>(valueOf(row, Field::Team))),
+                               JobKey(std::get<std::string>(valueOf(row, Field::Key)))};
+            this->jobs.cancel(*this->board.jobs.find(name));
+        }
+    }
+    this->outbox.emit(SendToPeer{peer.id, QueryRows{query.id, rowsToJson(rows)}});
+}
+
+void OperatorController::handle(const PeerRecord &peer, const QueryRows &rows)
+{
+    const auto found = this->pending.find(rows.id);
+    if (found == this->pending.end() || found->second.awaited.erase(peer.id) == 0) {
+        return;
+    }
+    Pending &query = found->second;
+    Result<std::vector<Row>> read = rowsFromJson(this->subjectOf(query.statement), rows.json);
+    if (read) {
+        query.answered.push_back(peer.identity.domain);
+        query.rows.insert(query.rows.end(), std::make_move_iterator(read.value().begin()), std::make_move_iterator(read.value().end()));
+    }
+    if (query.awaited.empty()) {
+        this->finish(rows.id);
+    }
+}
+
+std::string OperatorController::missingDomains(const Pending &query) const
+{
+    Json missing = Json::array();
+    for (const FailureDomain &domain : this->board.domains) {
+        const bool answered = std::find(query.answered.begin(), query.answered.end(), domain) != query.answered.end();
+        if (!answered) {
+            const auto since = this->board.domainLostAt.find(domain);
+            Json entry{{"domain", domain.value}};
+            if (since != this->board.domainLostAt.end()) {
+                entry["silentForSeconds"] = std::chrono::duration<double>(this->board.now - since->second).count();
+            }
+            missing.push_back(std::move(entry));
+        }
+    }
+    return missing.dump();
+}
+
+void OperatorController::finish(ForwardId id)
+{
+    const auto found = this->pending.find(id);
+    if (found == this->pending.end()) {
+        return;
+    }
+    Pending query = std::move(found->second);
+    this->pending.erase(found);
+    const std::string missing = this->missingDomains(query);
+    if (const auto *count = std::get_if<ShowCount>(&query.statement)) {
+        this->replyJson(query.request, fmt::format(R"({{"count":{},"missingDomains":{}}})", countRows(*count, query.rows), missing));
+        return;
+    }
+    if (const auto *show = std::get_if<ShowRows>(&query.statement)) {
+        query.rows = selectRows(*show, std::move(query.rows));
+    } else if (!isCancel(query.statement)) {
+        std::stable_sort(query.rows.begin(), query.rows.end(), [](const Row &left, const Row &right) {
+            return std::get<Duration>(valueOf(left, Field::Age)) > std::get<Duration>(valueOf(right, Field::Age));
+        });
+    }
+    const std::string_view name = isCancel(query.statement) ? "cancelled" : "rows";
+    this->replyJson(query.request, fmt::format(R"({{"{}":{},"missingDomains":{}}})", name, rowsToJson(query.rows), missing));
+}
+
+void OperatorController::advance()
+{
+    while (const std::optional<ForwardId> id = this->deadlines.takeDue(this->board.now)) {
+        this->finish(*id);
+    }
+}
+
+TimePoint OperatorController::nextDeadline() const
+{
+    return this->deadlines.next();
+}
+
+void OperatorController::askAudit(const OperatorAsked &asked, const ShowRows &query)
+{
+    TableRead read;
+    read.prefixes.push_back(RowKey(std::string(AuditPrefix)));
+    read.limit = AuditLimit;
+    this->platform.ask(std::move(read), AuditTimeout, [this, asked, query](const PlatformReply &reply) {
+        const auto *rows = std::get_if<RowsRead>(&reply);
+        if (rows == nullptr) {
+            this->replyError(asked.request,
+                             makeError(ErrorCode::Unavailable, "the platform's table, which holds the audit trail, can't be reached"));
+            return;
+        }
+        const std::vector<Row> selected = selectRows(query, makeAuditRows(rows->rows, asked.wallClockMs));
+        this->replyJson(asked.request, fmt::format(R"({{"rows":{},"missingDomains":[]}})", rowsToJson(selected)));
+    });
+}
+
+AuditRow OperatorController::auditOf(const OperatorAsked &asked) const
+{
+    return AuditRow{asked.wallClockMs, asked.by, asked.text, {}};
+}
+
+Error OperatorController::versionConflict(ConfigVersion wanted) const
+{
+    return makeError(ErrorCode::Conflict, fmt::format("version {} is in force, not {}", this->board.config.version.value, wanted.value),
+                     "version");
+}
+
+void OperatorController::execute(const OperatorAsked &asked, const Drain &command)
+{
+    if (command.ifVersion && *command.ifVersion != this->board.config.version) {
+        this->replyError(asked.request, this->versionConflict(*command.ifVersion));
+        return;
+    }
+    const DrainName named = std::visit(DrainNameOf(), command.target);
+    const std::string_view verb = command.isUndone ? "undrain" : "drain";
+    if (asked.dryRun) {
+        this->replyJson(asked.request, Json{{"wouldDo", fmt::format("{} {}", verb, named.name)}}.dump());
+        return;
+    }
+    const DrainCommand drain{named.scope, named.name, !command.isUndone, asked.by, this->auditOf(asked)};
+    this->drains.command(drain, [this, request = asked.request](const Result<RowVersion> &result) {
+        if (!result) {
+            this->replyError(request, result.error());
+            return;
+        }
+        this->replyJson(request, Json{{"accepted", true}, {"version", result.value().value}}.dump());
+    });
+}
+
+void OperatorController::proposeConfig(const OperatorAsked &asked, Result<FleetConfig> proposal, std::optional<ConfigVersion> ifVersion)
+{
+    if (!proposal) {
+        this->replyError(asked.request, proposal.error());
+        return;
+    }
+    if (ifVersion && *ifVersion != this->board.config.version) {
+        this->replyError(asked.request, this->versionConflict(*ifVersion));
+        return;
+    }
+    if (asked.dryRun) {
+        const std::string next = fleetConfigToJson(proposal.value());
+        this->replyJson(asked.request, fmt::format(R"({{"wouldPropose":{}}})", next));
+        return;
+    }
+    const ConfigVersion expected = ifVersion.value_or(ConfigVersion());
+    this->config.propose(std::move(proposal.value()), asked.by, expected, this->auditOf(asked),
+                         [this, request = asked.request](const Result<ConfigVersion> &version) {
+                             if (!version) {
+                                 this->replyError(request, version.error());
+                                 return;
+                             }
+                             Json reply{{"state", "proposed"}, {"version", version.value().value}, {"inForce", Json::object()}};
+                             for (const DomainConfig &domain : this->config.byDomain()) {
+                                 reply["inForce"][domain.domain.value] = domain.version.value;
+                             }
+                             this->replyJson(request, reply.dump());
+                         });
+}
+
+void OperatorController::execute(const OperatorAsked &asked, const SetLimit &command)
+{
+    FleetConfig next = this->board.config;
+    const auto kind = std::find_if(next.kinds.begin(), next.kinds.end(), [&](const KindConfig &one) { return one.name == command.kind; });
+    if (kind == next.kinds.end()) {
+        this->replyError(asked.request, makeError(ErrorCode::NotFound, fmt::format("there is no kind \"{}\"", command.kind.value), "kind"));
+        return;
+    }
+    kind->concurrencyLimit = command.concurrency;
+    this->proposeConfig(asked, std::move(next), command.ifVersion);
+}
+
+void OperatorController::execute(const OperatorAsked &asked, const SetQuota &command)
+{
+    FleetConfig next = this->board.config;
+    const auto team = std::find_if(next.teams.begin(), next.teams.end(), [&](const TeamConfig &one) { return one.name == command.team; });
+    if (team == next.teams.end()) {
+        next.teams.push_back(TeamConfig{command.team, command.quota, 1});
+    } else {
+        team->quota = command.quota;
+    }
+    this->proposeConfig(asked, std::move(next), command.ifVersion);
+}
+
+void OperatorController::execute(const OperatorAsked &asked, const Reconfigure &command)
+{
+    this->proposeConfig(asked, fleetConfigFromJson(command.json), command.ifVersion);
+}
+
+void OperatorController::execute(const OperatorAsked &asked, const CancelJob &command)
+{
+    this->executeCancel(asked, command);
+}
+
+void OperatorController::execute(const OperatorAsked &asked, const CancelJobs &command)
+{
+    this->executeCancel(asked, command);
+}
+
+void OperatorController::executeCancel(const OperatorAsked &asked, Statement statement)
+{
+    if (asked.dryRun) {
+        ShowRows jobsToCancel{Subject::Jobs, std::nullopt, std::nullopt, std::nullopt};
+        if (const auto *jobsWhere = std::get_if<CancelJobs>(&statement)) {
+            jobsToCancel.where = jobsWhere->where;
+        } else {
+            jobsToCancel.where = Condition{Comparison{Field::Key, Comparator::Equal, std::get<CancelJob>(statement).key.value}};
+        }
+        OperatorAsked question = asked;
+        question.text = printStatement(jobsToCancel);
+        this->askFleet(question, jobsToCancel);
+        return;
+    }
+    AuditRow audit = this->auditOf(asked);
+    audit.outcome = "accepted";
+    TableTransaction transaction;
+    transaction.writes.push_back(RowWrite{auditRowKey(audit, this->board.identity.incarnation, ++this->commands), encodeRow(audit)});
+    this->platform.ask(std::move(transaction), AuditTimeout, [this, asked, statement = std::move(statement)](const PlatformReply &reply) {
+        if (!std::holds_alternative<Committed>(reply)) {
+            this->replyError(
+                asked.request,
+                makeError(ErrorCode::Unavailable, "not carried out: the platform's table, which holds the audit trail, did not confirm"));
+            return;
+        }
+        for (const Row &row : this->localRows(statement)) {
+            const TeamKey name{TeamName(std::get<std::string>(valueOf(row, Field::Team))),
+                               JobKey(std::get<std::string>(valueOf(row, Field::Key)))};
+            this->jobs.cancel(*this->board.jobs.find(name));
+        }
+        this->askFleet(asked, statement);
+    });
+}
+
+} // namespace Tanagertally
--- a/src/controllers/outbox.h
+++ b/src/controllers/outbox.h
@@ -1,7 +1,8 @@
-/** Where controllers put their actions. */
+/** Where controllers put their actions and record their decisions. */
 #pragma once
 
 #include "controllers/action_type.h"
+#include "controllers/decision_trail.h"
 
 #include <cassert>
 #include <utility>
@@ -9,16 +10,21 @@
 namespace Tanagertally {
 
 /**
- * The list that the actions of the present event go into.
+ * The list that the actions of the present event go into, and the trail of decisions.
  * Thread safety: none.
  */
 class Outbox
 {
 public:
-    /** Collect into a list until the next call. @param list The list; must outlive the handling of the event. */
-    void collectInto(ActionList &list)
+    /**
+     * Collect into a list until the next call.
+     * @param list The list; must outlive the handling of the event.
+     * @param now Time of the event.
+     */
+    void collectInto(ActionList &list, TimePoint now)
     {
         this->target = &list;
+        this->time = now;
     }
 
     /** Add an action. @pre collectInto() was called. */
@@ -29,17 +35,33 @@
     }
 
     /**
-     * Add a log line.
+     * Record a decision without a log line, for what happens often.
      * @param event Name of the event; a literal.
-     * @param fields Its fields.
+     * @param fields What it was about and why; the fields `key` and `worker` are what `explain` looks for.
+     * @return Its number in the trail.
      */
-    void log(std::string_view event, std::vector<LogField> fields = {})
+    TrailNumber note(std::string_view event, std::vector<LogField> fields)
+    {
+        return this->trail.add(this->time, event, std::move(fields));
+    }
+
+    /** Record a decision and write it to the log. @return Its number in the trail. */
+    TrailNumber log(std::string_view event, std::vector<LogField> fields = {})
+    {
+        this->emit(WriteLog{event, fields});
+        return this->note(event, std::move(fields));
+    }
+
+    /** @return The recorded decisions. */
+    const DecisionTrail &decisions() const
     {
-        this->emit(WriteLog{event, std::move(fields)});
+        return this->trail;
     }
 
 private:
     ActionList *target = nullptr; ///< List of the event being handled.
+    TimePoint time{}; ///< Time of the event being handled.
+    DecisionTrail trail; ///< Recorded decisions.
 };
 
 } // namespace Tanagertally
--- a/src/language/language_table.cpp
+++ b/src/language/language_table.cpp
@@ -14,10 +14,9 @@
 constexpr Words JobOutcomes[] = {"complete", "failed"};
 constexpr Words TaskStates[] = {"waiting", "running", "succeeded", "failed", "cancelled"};
 constexpr Words Verdicts[] = {"not-run", "may-have-run", "ran"};
-constexpr Words EndpointStates[] = {"live", "suspect", "ejected", "draining", "leaving", "gone"};
-constexpr Words InstanceStates[] = {"live", "leaving", "unreachable", "gone"};
-constexpr Words ConfigStates[] = {"proposed", "in-force", "accepted", "superseded"};
-constexpr Words AuditOutcomes[] = {"accepted", "refused", "conflict", "unknown"};
+constexpr Words EndpointStates[] = {"live", "ejected", "trial", "unreachable", "leaving"};
+constexpr Words InstanceStates[] = {"learning", "serving", "draining", "stopped"};
+constexpr Words ConfigStates[] = {"in-force", "accepted"};
 
 constexpr FieldInfo JobFields[] = {
     {Field::Key, "key", Text},
@@ -67,8 +66,7 @@
     {Field::ProcessIncarnation, "incarnation", Text},
     {Field::Config, "config", Number},
     {Field::Queued, "queued", Number},
-    {Field::Free, "free", Number},
-    {Field::Silence, "silence", TimeSpan},
+    {Field::Running, "running", Number},
 };
 
 constexpr FieldInfo DomainFields[] = {
@@ -91,7 +89,7 @@
 
 constexpr FieldInfo AuditFields[] = {
     {Field::Index, "index", Number},     {Field::By, "by", Text},     {Field::Age, "age", TimeSpan},
-    {Field::Version, "version", Number}, {Field::Text, "text", Text}, {Field::Outcome, "outcome", Name, AuditOutcomes},
+    {Field::Version, "version", Number}, {Field::Text, "text", Text}, {Field::Outcome, "outcome", Text},
 };
 
 constexpr FieldInfo RefusalFields[] = {
--- a/src/operator/operator_handler.cpp
+++ b/src/operator/operator_handler.cpp
@@ -65,7 +65,9 @@
     if (input.has_error()) {
         return badInput(input.error());
     }
-    return Event(OperatorAsked{id, OperatorName(std::move(*name)), std::move(input.value().text), input.value().dryRun});
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    const std::int64_t wallClockMs = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+    return Event(OperatorAsked{id, OperatorName(std::move(*name)), std::move(input.value().text), input.value().dryRun, wallClockMs});
 }
 
 HttpOutcome OperatorHandler::handleGet(const HttpRequest &request, std::string_view path) const
