--- a/bench/session/session.h
+++ b/bench/session/session.h
@@ -30,6 +30,18 @@
     /** Set who gets the transcript. */
     void onTrace(TraceHandler handler);
 
+    /** Set who hears of each reply when it reaches its caller, with the number of the call. */
+    void onReply(std::function<void(std::size_t, const SessionReply &)> handler)
+    {
+        this->replyHandler = std::move(handler);
+    }
+
+    /** Set who hears of the end of each attempt. */
+    void onAttemptEnd(std::function<void(const SessionAttempt &)> handler)
+    {
+        this->attemptHandler = std::move(handler);
+    }
+
     /** Run until a time. @param until Time since the start. */
     void runUntil(Duration until);
 
@@ -99,6 +111,13 @@
     /** Multiply the run times on a worker. */
     void setSlowness(std::uint32_t worker, double factor);
 
+    /**
+     * Have the connections to a worker that are open go silent, while new ones work.
+     * @param worker The worker.
+     * @param perInstance Open connections that each instance has to it.
+     */
+    void silenceConnections(std::uint32_t worker, std::uint32_t perInstance);
+
     /** Have the instance list name a worker as leaving or live, after its lag. */
     void listLeaving(std::uint32_t worker, bool leaving);
 
@@ -183,6 +202,7 @@
         EndpointMode mode = EndpointMode::Normal; ///< How it behaves.
         std::uint32_t running = 0; ///< Tasks that run.
         double slowness = 1.0; ///< Multiplies run times.
+        std::map<std::uint32_t, std::uint32_t> silentConnections; ///< Silent connections that each instance still has open to it.
     };
 
     /** One attempt in flight. */
@@ -193,6 +213,9 @@
         std::uint32_t worker = 0; ///< Where it goes.
         bool ended = false; ///< Whether its end was reported.
         bool delivered = false; ///< Whether it reached the worker.
+        JobKey key; ///< Key of its job.
+        std::uint32_t task = 0; ///< Index of its task.
+        bool silenced = false; ///< Whether its connection went silent.
     };
 
     /** A link between two instances. */
@@ -273,6 +296,8 @@
     std::uint64_t peerMessageCount = 0; ///< Messages between instances.
     std::uint64_t probes = 0; ///< Probes.
     TraceHandler traceHandler; ///< Gets the transcript.
+    std::function<void(std::size_t, const SessionReply &)> replyHandler; ///< Hears of replies.
+    std::function<void(const SessionAttempt &)> attemptHandler; ///< Hears of the ends of attempts.
 };
 
 } // namespace Tanagertally
--- a/bench/session/session_callers.cpp
+++ b/bench/session/session_callers.cpp
@@ -104,6 +104,9 @@
     this->trace(fmt::format("e{} replies to call {}: {}", instance, number, std::visit(ReplyText(), action.reply)));
     this->schedule(this->options.delays.caller, [this, number, reply = std::move(action.reply)] {
         this->calls.at(number).replies.push_back(SessionReply{this->clock, reply});
+        if (this->replyHandler) {
+            this->replyHandler(number, SessionReply{this->clock, reply});
+        }
     });
 }
 
--- a/bench/session/session_endpoints.cpp
+++ b/bench/session/session_endpoints.cpp
@@ -33,6 +33,22 @@
     this->workers[worker].slowness = factor;
 }
 
+void Session::silenceConnections(std::uint32_t worker, std::uint32_t perInstance)
+{
+    this->trace(fmt::format("fault: w{} connections silent", worker));
+    for (std::uint32_t instance = 0; instance < this->instances.size(); ++instance) {
+        this->workers[worker].silentConnections[instance] = perInstance;
+    }
+    for (Flight &flight : this->flights) {
+        const bool open = flight.worker == worker && !flight.ended;
+        if (open) {
+            flight.silenced = true;
+            std::uint32_t &left = this->workers[worker].silentConnections[flight.instance];
+            left -= left > 0 ? 1 : 0;
+        }
+    }
+}
+
 void Session::on(std::uint32_t instance, AddEndpoint &action)
 {
     const std::string &address = action.address.value;
@@ -50,7 +66,7 @@
     Instance &one = this->instances[instance];
     const std::uint32_t worker = one.endpoints.at(action.endpoint);
     const std::size_t flight = this->flights.size();
-    this->flights.push_back(Flight{instance, one.life, action.attempt, worker, false, false});
+    this->flights.push_back(Flight{instance, one.life, action.attempt, worker, false, false, action.key, action.task, false});
     one.attempts[action.attempt] = flight;
     this->trace(fmt::format("e{} starts {}#{} {} on w{}", instance, action.key.value, action.task, action.kind.value, worker));
     this->schedule(this->options.delays.withinDomain, [this, flight, start = std::move(action)]() mutable {
@@ -72,6 +88,12 @@
     }
     one.delivered = true;
     ++this->endpointMessageCount;
+    std::uint32_t &silent = worker.silentConnections[one.instance];
+    if (silent > 0) {
+        --silent;
+        one.silenced = true;
+        return;
+    }
     if (worker.mode == EndpointMode::Refusing) {
         this->schedule(back, [this, flight] { this->endAttempt(flight, AttemptOutcome::RefusedLeaving, nullptr, "leaving", {}); });
         return;
@@ -85,7 +107,9 @@
     ++worker.running;
     const bool fails = worker.mode == EndpointMode::FailsAll;
     const bool poisoned = *payload == "\"poison\"";
-    const Duration drawn = std::chrono::duration_cast<Duration>(this->options.runTime(kind, this->random) * worker.slowness);
+    const Duration own
+        = this->options.payloadRunTime ? this->options.payloadRunTime(payload, this->random) : this->options.runTime(kind, this->random);
+    const Duration drawn = std::chrono::duration_cast<Duration>(own * worker.slowness);
     const Duration runTime = fails ? FailingRunTime : drawn;
     this->schedule(runTime, [this, flight, fails, poisoned, runTime, back, key, task] {
         const Flight &flown = this->flights[flight];
@@ -94,7 +118,7 @@
             return;
         }
         where.running -= where.running > 0 ? 1 : 0;
-        if (where.mode == EndpointMode::Silent || where.mode == EndpointMode::SilentConnections) {
+        if (where.mode == EndpointMode::Silent || where.mode == EndpointMode::SilentConnections || flown.silenced) {
             return;
         }
         AttemptOutcome outcome = poisoned ? AttemptOutcome::TaskFailed : AttemptOutcome::Succeeded;
@@ -114,7 +138,12 @@
         return;
     }
     one.ended = true;
-    this->endpointMessageCount += one.delivered && outcome != AttemptOutcome::Lost ? 1 : 0;
+    const std::uint32_t answers = one.delivered && outcome != AttemptOutcome::Lost ? 1 : 0;
+    this->endpointMessageCount += answers;
+    if (this->attemptHandler) {
+        const std::uint32_t messages = (one.delivered ? 1 : 0) + answers;
+        this->attemptHandler(SessionAttempt{this->clock, one.key, one.task, one.instance, one.worker, outcome, messages, one.silenced});
+    }
     if (outcome != AttemptOutcome::Succeeded) {
         this->trace(fmt::format("w{} ends attempt of e{}: {}", one.worker, one.instance, error));
     }
--- a/bench/session/session_type.h
+++ b/bench/session/session_type.h
@@ -36,6 +36,7 @@
     FleetConfig config; ///< Initial configuration.
     AnyChoice choice; ///< Policy that chooses endpoints.
     std::function<Duration(const KindName &, RandomEngine &)> runTime; ///< Run time of a task.
+    std::function<Duration(const Payload &, RandomEngine &)> payloadRunTime; ///< Run time by payload; used instead if it is set.
 };
 
 /** How an endpoint behaves. */
@@ -72,6 +73,18 @@
     bool connectionLost = false; ///< Whether the instance died before it replied.
 };
 
+/** An attempt that has ended, as seen on the wire. */
+struct SessionAttempt {
+    TimePoint endedAt{}; ///< When its end was reported.
+    JobKey key; ///< Key of its job.
+    std::uint32_t task = 0; ///< Index of its task.
+    std::uint32_t instance = 0; ///< Instance that had it started.
+    std::uint32_t worker = 0; ///< Worker it went to.
+    AttemptOutcome outcome = AttemptOutcome::Lost; ///< How it ended.
+    std::uint32_t messages = 0; ///< Messages to and from the endpoint.
+    bool silenced = false; ///< Whether its connection had gone silent.
+};
+
 /** A start of a task, as an endpoint saw it. */
 struct SessionStart {
     TimePoint at{}; ///< When.
