--- a/bench/exact_queue.h
+++ b/bench/exact_queue.h
@@ -1,4 +1,4 @@
-/** A queue with exact knowledge: what no dispatcher in order of arrival can beat. */
+/** A queue with exact knowledge, to hold the real decisions against. */
 #pragma once
 
 #include "core/time_type.h"
@@ -6,12 +6,13 @@
 #include <functional>
 #include <queue>
 #include <span>
+#include <tuple>
 #include <vector>
 
 namespace Tanagertally {
 
 /**
- * Slots that serve tasks in order of arrival, without faults, messages or delays of knowledge.
+ * Slots that serve tasks by rank, and by arrival within a rank, without faults, messages or delays of knowledge.
  * Thread safety: none.
  */
 class ExactQueue
@@ -26,25 +27,66 @@
     }
 
     /**
-     * Run the tasks of a job.
-     * @param arrival When it arrives; never earlier than that of the job before.
+     * Take the tasks of a job.
+     * @param at When it arrives; never earlier than that of the job before.
      * @param runTimes Run times of its tasks.
-     * @return Time from arrival to the end of its last task.
+     * @param rank Tasks of lower rank are served first.
+     * @return Number of the job.
      */
-    Duration run(TimePoint arrival, std::span<const Duration> runTimes)
+    std::size_t arrive(TimePoint at, std::span<const Duration> runTimes, std::uint64_t rank)
     {
-        TimePoint end = arrival;
+        this->serveUntil(at);
+        const std::size_t job = this->ends.size();
+        this->ends.push_back(at);
         for (const Duration runTime : runTimes) {
-            const TimePoint start = std::max(arrival, this->freeAt.top());
-            this->freeAt.pop();
-            this->freeAt.push(start + runTime);
-            end = std::max(end, start + runTime);
+            this->waiting.push(Waiting{rank, ++this->lastOrder, job, at, runTime});
         }
-        return end - arrival;
+        this->serveUntil(at);
+        return job;
+    }
+
+    /** Serve everything that waits. */
+    void finish()
+    {
+        this->serveUntil(TimePoint::max());
+    }
+
+    /** @return When a job's last task ended. @pre finish() was called. */
+    TimePoint endOf(std::size_t job) const
+    {
+        return this->ends.at(job);
     }
 
 private:
+    /** A task that waits. */
+    struct Waiting {
+        std::uint64_t rank; ///< Its rank.
+        std::uint64_t order; ///< Its place in order of arrival.
+        std::size_t job; ///< Its job.
+        TimePoint at; ///< When it arrived.
+        Duration runTime; ///< Its run time.
+        bool operator>(const Waiting &other) const
+        {
+            return std::tie(this->rank, this->order) > std::tie(other.rank, other.order);
+        }
+    };
+
+    void serveUntil(TimePoint until)
+    {
+        while (!this->waiting.empty() && this->freeAt.top() <= until) {
+            const Waiting task = this->waiting.top();
+            this->waiting.pop();
+            const TimePoint end = std::max(task.at, this->freeAt.top()) + task.runTime;
+            this->freeAt.pop();
+            this->freeAt.push(end);
+            this->ends[task.job] = std::max(this->ends[task.job], end);
+        }
+    }
+
     std::priority_queue<TimePoint, std::vector<TimePoint>, std::greater<>> freeAt; ///< When each slot is free.
+    std::priority_queue<Waiting, std::vector<Waiting>, std::greater<>> waiting; ///< Tasks that wait.
+    std::vector<TimePoint> ends; ///< End of each job's last task so far.
+    std::uint64_t lastOrder = 0; ///< Order of the last task.
 };
 
 } // namespace Tanagertally
--- a/bench/fault_script.cpp
+++ b/bench/fault_script.cpp
@@ -11,8 +11,9 @@
 constexpr std::uint32_t SilentWorkersPerDomain = 2;
 constexpr double CancelledShare = 0.5;
 constexpr Duration CancelInterval = 5s;
-constexpr Duration ReplacementInterval = 3s;
-constexpr Duration RestartAfter = 2s;
+constexpr Duration ReplacementInterval = 1500ms;
+constexpr Duration ReadyAfter = 1s; // of a new incarnation
+constexpr Duration RestartAfter = 1s;
 constexpr Duration ExitPoll = 100ms;
 constexpr Duration BalancerLag = 200ms;
 
@@ -40,6 +41,8 @@
     }
 }
 
+void replaceFrom(Session &session, LoadGenerator &load, std::uint32_t instance);
+
 void restartOnceExited(Session &session, LoadGenerator &load, std::uint32_t instance)
 {
     if (session.isRunning(instance)) {
@@ -47,17 +50,18 @@
         return;
     }
     session.restart(instance);
-    session.at(session.now() + BalancerLag, [&load, instance] { load.setReady(instance, true); });
+    session.at(session.now() + ReadyAfter, [&load, instance] { load.setReady(instance, true); });
+    session.at(session.now() + ReplacementInterval, [&session, &load, instance] { replaceFrom(session, load, instance + 1); });
 }
 
-void replaceInstances(Session &session, LoadGenerator &load, const RunLength &length)
+void replaceFrom(Session &session, LoadGenerator &load, std::uint32_t instance)
 {
-    for (std::uint32_t instance = 0; instance < session.instanceCount(); ++instance) {
-        const Duration at = length.warmUp + ReplacementInterval * (instance + 1);
-        session.at(at, [&session, instance] { session.stop(instance); });
-        session.at(at + BalancerLag, [&load, instance] { load.setReady(instance, false); });
-        session.at(at + RestartAfter, [&session, &load, instance] { restartOnceExited(session, load, instance); });
+    if (instance >= session.instanceCount()) {
+        return;
     }
+    session.stop(instance);
+    session.at(session.now() + BalancerLag, [&load, instance] { load.setReady(instance, false); });
+    session.at(session.now() + RestartAfter, [&session, &load, instance] { restartOnceExited(session, load, instance); });
 }
 
 } // namespace
@@ -92,7 +96,7 @@
         }
         break;
     case Fault::RollingReplacement:
-        replaceInstances(session, load, length);
+        session.at(length.warmUp, [&session, &load] { replaceFrom(session, load, 0); });
         break;
     }
 }
--- a/bench/load_generator.cpp
+++ b/bench/load_generator.cpp
@@ -100,8 +100,10 @@
 {
     const std::uint32_t first = domain * this->user.instancesPerDomain;
     const auto start = static_cast<std::uint32_t>(drawBelow(this->random, this->user.instancesPerDomain));
-    for (std::uint32_t step = 0; step < this->user.instancesPerDomain; ++step) {
-        const std::uint32_t instance = first + (start + step) % this->user.instancesPerDomain;
+    const std::uint32_t all = this->session.instanceCount();
+    for (std::uint32_t step = 0; step < this->user.instancesPerDomain + all; ++step) {
+        const bool own = step < this->user.instancesPerDomain;
+        const std::uint32_t instance = own ? first + (start + step) % this->user.instancesPerDomain : (first + step) % all;
         if (this->ready[instance] && this->session.isRunning(instance)) {
             return instance;
         }
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -1,5 +1,6 @@
 /** Program tanagertally-bench: scenarios on the decision part alone, on a virtual clock. */
 #include "batch.h"
+#include "cost.h"
 #include "plot.h"
 #include "report.h"
 #include "scenario_table.h"
@@ -109,6 +110,11 @@
     runCommand->add_option("--seconds", arguments.seconds, "Measured virtual time");
     runCommand->add_option("--out", arguments.out, "Directory for reports");
     runCommand->add_option("--trace", arguments.trace, "File for the transcript");
+    const CLI::App *costCommand = app.add_subcommand("cost", "Measure processor time and memory of the decision part");
     CLI11_PARSE(app, argc, argv);
+    if (costCommand->parsed()) {
+        std::cout << measureCosts();
+        return 0;
+    }
     return run(arguments);
 }
--- a/bench/recorder.cpp
+++ b/bench/recorder.cpp
@@ -2,6 +2,7 @@
 
 #include "exact_queue.h"
 
+#include <algorithm>
 #include <numeric>
 #include <set>
 
@@ -251,16 +252,30 @@
 void Recorder::countExactQueues(RunFigures &figures) const
 {
     const std::uint32_t domainSlots = this->user.workersPerDomain * this->user.slots;
-    std::vector<ExactQueue> domains(this->user.domains, ExactQueue(domainSlots));
-    ExactQueue fleet(this->user.allSlots());
-    const Duration links = (this->user.toCaller + ToEndpoint) * 2;
+    std::vector<ExactQueue> byArrival(this->user.domains, ExactQueue(domainSlots));
+    std::vector<ExactQueue> bySize(this->user.domains, ExactQueue(domainSlots));
+    std::vector<ExactQueue> fleet(1, ExactQueue(this->user.allSlots()));
+    std::vector<std::array<std::size_t, 2>> numbers;
     for (const JobEntry &job : this->jobs) {
-        const Duration inDomain = domains.at(job.domain).run(job.sentAt, job.runTimes) + links;
-        const Duration inFleet = fleet.run(job.sentAt, job.runTimes) + links;
-        if (this->isCounted(job) && job.jobClass == JobClass::Usual) {
-            figures.domainQueueRatio.add(static_cast<std::uint64_t>(seconds(inDomain) / seconds(job.ideal) * RatioUnit));
-            figures.fleetQueueRatio.add(static_cast<std::uint64_t>(seconds(inFleet) / seconds(job.ideal) * RatioUnit));
+        byArrival[job.domain].arrive(job.sentAt, job.runTimes, 0);
+        numbers.push_back({bySize[job.domain].arrive(job.sentAt, job.runTimes, job.tasks), fleet[0].arrive(job.sentAt, job.runTimes, 0)});
+    }
+    for (std::vector<ExactQueue> *queues : {&byArrival, &bySize, &fleet}) {
+        std::ranges::for_each(*queues, &ExactQueue::finish);
+    }
+    const Duration links = (this->user.toCaller + ToEndpoint) * 2;
+    for (std::size_t index = 0; index < this->jobs.size(); ++index) {
+        const JobEntry &job = this->jobs[index];
+        if (!this->isCounted(job) || job.jobClass != JobClass::Usual) {
+            continue;
         }
+        const auto [inDomain, inFleet] = numbers[index];
+        const auto addTo = [&](Histogram<10> &histogram, TimePoint end) {
+            histogram.add(static_cast<std::uint64_t>(seconds(end - job.sentAt + links) / seconds(job.ideal) * RatioUnit));
+        };
+        addTo(figures.domainQueueRatio, byArrival[job.domain].endOf(inDomain));
+        addTo(figures.sizeQueueRatio, bySize[job.domain].endOf(inDomain));
+        addTo(figures.fleetQueueRatio, fleet[0].endOf(inFleet));
     }
 }
 
--- a/bench/recorder.h
+++ b/bench/recorder.h
@@ -62,6 +62,7 @@
     Histogram<10> ratio; ///< Response time over the ideal of usual jobs answered complete, in parts of RatioUnit.
     Histogram<10> bigRatio; ///< The same of big jobs.
     Histogram<10> domainQueueRatio; ///< The same of usual jobs with one exact queue for each failure domain.
+    Histogram<10> sizeQueueRatio; ///< The same, and jobs of fewer tasks first.
     Histogram<10> fleetQueueRatio; ///< The same of usual jobs with one exact queue for the fleet.
     Histogram<10> responseMicros; ///< Response time of usual jobs answered complete, in us.
     Histogram<10> refusalMicros; ///< Time from submission to refusal, links included, in us.
--- a/bench/report.cpp
+++ b/bench/report.cpp
@@ -39,12 +39,14 @@
 std::vector<Column> mainColumns()
 {
     return {
+        {"user", 8, [](const RunResult &run) { return run.user; }},
         {"scenario", 20, [](const RunResult &run) { return run.scenario; }},
         {"policy", 15, [](const RunResult &run) { return run.policy; }},
         {"p50", 7, [](const RunResult &run) { return ratio(run.figures.ratio, 0.5); }},
         {"p99", 8, [](const RunResult &run) { return ratio(run.figures.ratio, 0.99); }},
         {"p99.9", 8, [](const RunResult &run) { return ratio(run.figures.ratio, 0.999); }},
         {"domain-q", 8, [](const RunResult &run) { return ratio(run.figures.domainQueueRatio, 0.99); }},
+        {"size-q", 8, [](const RunResult &run) { return ratio(run.figures.sizeQueueRatio, 0.99); }},
         {"fleet-q", 8, [](const RunResult &run) { return ratio(run.figures.fleetQueueRatio, 0.99); }},
         {"big-p50", 8, [](const RunResult &run) { return ratio(run.figures.bigRatio, 0.5); }},
         {"msg/task", 9, [](const RunResult &run) { return perTask(run.figures.messages, run.figures); }},
@@ -66,7 +68,6 @@
 std::vector<Column> detailColumns()
 {
     std::vector<Column> columns = {
-        {"user", 8, [](const RunResult &run) { return run.user; }},
         {"seed", 5, [](const RunResult &run) { return std::to_string(run.seed); }},
         {"p99-ms", 9, [](const RunResult &run) { return fmt::format("{:.1f}", double(run.figures.responseMicros.quantile(0.99)) / 1e3); }},
         {"refusal-p99-ms", 9,
@@ -116,7 +117,7 @@
     }
     text += "\nWasted messages and ends of jobs by cause\n";
     for (const RunResult &run : results) {
-        text += fmt::format("{:<20} {:<15}{}\n", run.scenario, run.policy, wasteLine(run));
+        text += fmt::format("{:<8} {:<20} {:<15}{}\n", run.user, run.scenario, run.policy, wasteLine(run));
     }
     text += "\nTargets\n";
     for (const Judgement &judgement : judge(results)) {
--- a/bench/runner.cpp
+++ b/bench/runner.cpp
@@ -28,6 +28,18 @@
     return options;
 }
 
+/** Keep the instances of each failure domain from knowing of each other. */
+void cutWithinDomains(Session &session)
+{
+    for (std::uint32_t from = 0; from < session.instanceCount(); ++from) {
+        for (std::uint32_t to = 0; to < session.instanceCount(); ++to) {
+            if (from != to && session.domainOf(from) == session.domainOf(to)) {
+                session.cutLink(from, to, true);
+            }
+        }
+    }
+}
+
 double ratioOf(const JobEntry &job)
 {
     return std::chrono::duration<double>(job.endedAt - job.sentAt) / std::chrono::duration<double>(job.ideal);
@@ -55,6 +67,9 @@
 {
     Session session(makeOptions(user, scenario, policy, seed));
     session.onTrace(trace);
+    if (!policy.shares) {
+        cutWithinDomains(session);
+    }
     Recorder recorder(session, user, length);
     LoadGenerator load(session, user, scenario, length, seed, recorder);
     load.start();
--- a/bench/scenario_table.cpp
+++ b/bench/scenario_table.cpp
@@ -67,6 +67,7 @@
         {.name = "hedged", .choice = TwoChoices(), .hedged = true},
         {.name = "no-retry", .choice = TwoChoices(), .retryBudget = 0.0},
         {.name = "no-ejection", .choice = TwoChoices(), .ejectedShare = 0.0},
+        {.name = "no-shares", .choice = TwoChoices(), .shares = false},
         {.name = "short-queue", .choice = TwoChoices(), .maxQueueWait = 500ms},
     };
     return policies;
