--- a/src/caller/http_session.h
+++ b/src/caller/http_session.h
@@ -1,11 +1,8 @@
 /** One connection of the HTTP server: a state machine that reads one request at a time and writes its reply. */
 #pragma once
 
-#include "caller/http_calls.h"
-#include "caller/http_gate.h"
-#include "caller/http_handler.h"
+#include "caller/http_core.h"
 #include "caller/http_wire_func.h"
-#include "controllers/event_queue.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -15,36 +12,10 @@
 #include <boost/beast/http/write.hpp>
 
 #include <array>
-#include <atomic>
 #include <optional>
 
 namespace Tanagertally {
 
-template<HttpHandler Handler>
-class HttpSession;
-
-/** What the connections of one listener share. */
-template<HttpHandler Handler>
-struct HttpCore {
-    std::shared_ptr<Handler> handler; ///< Makes replies and events of requests.
-    EventQueue &events; ///< Where events go.
-    HttpLimits limits; ///< Limits of the listener.
-    std::shared_ptr<HttpGate> gate; ///< Admission of connections and requests.
-    HttpCalls<HttpSession<Handler>> calls; ///< Open connections and calls that await a reply.
-    WorkCount writing; ///< Replies that are not yet written.
-    WorkCount open; ///< Connections not yet destroyed.
-    std::atomic<bool> stopping = false; ///< Whether connections end with their next reply.
-
-    /** Make the shared part of a listener. */
-    HttpCore(std::shared_ptr<Handler> sharedHandler, EventQueue &eventQueue, const HttpLimits &listenerLimits)
-        : handler(std::move(sharedHandler))
-        , events(eventQueue)
-        , limits(listenerLimits)
-        , gate(std::make_shared<HttpGate>(listenerLimits))
-    {
-    }
-};
-
 /**
  * One connection. While a call awaits its reply, one read stays outstanding, so that a caller who closes the connection is
  * noticed; what it reads is the start of the next request.
@@ -181,10 +152,7 @@
                 this->onHeaderRead();
             }
         }
-        if (this->phase == Phase::Closed) {
-            return;
-        }
-        if (this->parser->is_done()) {
+        if (this->parser->is_done() && this->phase != Phase::Closed) {
             this->dispatch();
             return;
         }
