--- a/src/blackboard/config_codec.cpp
+++ b/src/blackboard/config_codec.cpp
@@ -123,12 +123,12 @@
         if (value == nullptr) {
             return;
         }
-        const std::string expected = "a duration with a unit from " + formatDuration(low) + " to " + formatDuration(high);
+        const std::string expected = "a duration with a unit from " + durationToText(low) + " to " + durationToText(high);
         if (!value->is_string()) {
             this->fail(this->pathOf(key), expected);
             return;
         }
-        const Result<Duration> parsed = parseDuration(value->get_ref<const std::string &>());
+        const Result<Duration> parsed = durationFromText(value->get_ref<const std::string &>());
         if (!parsed || parsed.value() < low || parsed.value() > high) {
             this->fail(this->pathOf(key), expected);
             return;
@@ -315,7 +315,7 @@
     json["name"] = kind.name.value;
     json["idempotent"] = kind.idempotence == Idempotence::Idempotent;
     json["urgency"] = wordOf(kind.urgency);
-    json["expectedRunTime"] = formatDuration(kind.expectedRunTime);
+    json["expectedRunTime"] = durationToText(kind.expectedRunTime);
     json["concurrencyLimit"] = kind.concurrencyLimit;
     json["hedged"] = kind.hedged;
     return json;
@@ -337,7 +337,7 @@
     json["wastedMessageWeight"] = policy.wastedMessageWeight;
     json["retryBudget"] = policy.retryBudget;
     json["hedgeBudget"] = policy.hedgeBudget;
-    json["maxQueueWait"] = formatDuration(policy.maxQueueWait);
+    json["maxQueueWait"] = durationToText(policy.maxQueueWait);
     json["ejectedShare"] = policy.ejectedShare;
     return json;
 }
--- a/src/blackboard/duration_func.cpp
+++ b/src/blackboard/duration_func.cpp
@@ -33,7 +33,7 @@
 
 } // namespace
 
-Result<Duration> parseDuration(std::string_view text)
+Result<Duration> durationFromText(std::string_view text)
 {
     std::int64_t count = 0;
     const char *end = text.data() + text.size();
@@ -54,7 +54,7 @@
     return notADuration(text);
 }
 
-std::string formatDuration(Duration duration)
+std::string durationToText(Duration duration)
 {
     if (duration.count() == 0) {
         return "0s";
--- a/src/blackboard/duration_func.h
+++ b/src/blackboard/duration_func.h
@@ -15,14 +15,14 @@
  * @return The duration, or BadInput if the text is something else or overflows.
  * Thread safety: any thread.
  */
-Result<Duration> parseDuration(std::string_view text);
+Result<Duration> durationFromText(std::string_view text);
 
 /**
  * Write a duration with the largest unit that gives a whole number.
  * @param duration The duration, zero or positive.
- * @return Text that parseDuration() reads back as the same duration.
+ * @return Text that durationFromText() reads back as the same duration.
  * Thread safety: any thread.
  */
-std::string formatDuration(Duration duration);
+std::string durationToText(Duration duration);
 
 } // namespace Tanagertally
--- a/src/blackboard/tests/config_test.cpp
+++ b/src/blackboard/tests/config_test.cpp
@@ -94,12 +94,12 @@
 
 BOOST_AUTO_TEST_CASE(DurationsNeedAUnit)
 {
-    BOOST_TEST((parseDuration("500ms").value() == std::chrono::milliseconds(500)));
-    BOOST_TEST((parseDuration("2min").value() == std::chrono::minutes(2)));
+    BOOST_TEST((durationFromText("500ms").value() == std::chrono::milliseconds(500)));
+    BOOST_TEST((durationFromText("2min").value() == std::chrono::minutes(2)));
     for (const char *bad : {"", "5", "ms", "-1s", "1.5s", "5 s", "5S", "9999999999h"}) {
-        BOOST_TEST(!parseDuration(bad), bad);
+        BOOST_TEST(!durationFromText(bad), bad);
     }
     for (const char *text : {"0s", "1500ms", "90s", "1h", "7ns"}) {
-        BOOST_TEST(formatDuration(parseDuration(text).value()) == text);
+        BOOST_TEST(durationToText(durationFromText(text).value()) == text);
     }
 }
--- a/src/daemon/settings_reference.cpp
+++ b/src/daemon/settings_reference.cpp
@@ -78,7 +78,7 @@
         return "a whole number from " + countRange(setting.range);
     case SettingType::TimeSpan:
         return "a duration with a unit"
-               + between(formatDuration(Duration(setting.range.low)), formatDuration(Duration(setting.range.high)));
+               + between(durationToText(Duration(setting.range.low)), durationToText(Duration(setting.range.high)));
     case SettingType::Size:
         return "a size with a unit" + between(formatSize(setting.range.low), formatSize(setting.range.high));
     case SettingType::Choice:
--- a/src/daemon/settings_value.cpp
+++ b/src/daemon/settings_value.cpp
@@ -77,7 +77,7 @@
     if (setting.type == SettingType::Whole) {
         return readWhole(setting, text);
     }
-    const Result<Duration> duration = parseDuration(text);
+    const Result<Duration> duration = durationFromText(text);
     if (!duration) {
         return wrongValue(setting);
     }
