--- a/src/language/language_check.cpp
+++ b/src/language/language_check.cpp
@@ -134,7 +134,7 @@
         }
         return makeColumnError(token.column, "a number for " + std::string(field.name));
     case FieldType::TimeSpan:
-        if (const auto duration = parseDuration(token.text)) {
+        if (const auto duration = parseDecimalDuration(token.text)) {
             return Value(*duration);
         }
         return makeColumnError(token.column, "a duration such as 250ms or 2s for " + std::string(field.name));
--- a/src/language/language_value.cpp
+++ b/src/language/language_value.cpp
@@ -104,7 +104,7 @@
     return number;
 }
 
-std::optional<Duration> parseDuration(std::string_view text)
+std::optional<Duration> parseDecimalDuration(std::string_view text)
 {
     std::size_t digits = 0;
     while (digits < text.size() && (isDigit(text[digits]) || text[digits] == '.')) {
--- a/src/language/language_value.h
+++ b/src/language/language_value.h
@@ -16,7 +16,7 @@
 std::optional<std::uint64_t> parseWhole(std::string_view text, std::uint64_t most);
 
 /** @return A duration such as "250ms" or "1.5s"; units are ns, us, ms, s, m, h and d; or nothing. */
-std::optional<Duration> parseDuration(std::string_view text);
+std::optional<Duration> parseDecimalDuration(std::string_view text);
 
 /** @return The text between the quotes with its escapes resolved, or nothing if an escape is unknown. @pre Quoted. */
 std::optional<std::string> parseQuoted(std::string_view text);
