--- a/src/blackboard/task_queue.cpp
+++ b/src/blackboard/task_queue.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-constexpr std::array<std::uint32_t, 3> SizeLimits = {2, 9, 65}; // tasks; from each of these a job is in the next class
-constexpr std::uint32_t LargestFirstEvery = 8; // tasks
+constexpr std::array<std::uint32_t, 7> SizeLimits = {2, 3, 5, 9, 17, 33, 65}; // tasks; from each of these a job is in the next class
+constexpr std::uint32_t LargestFirstEvery = 32; // tasks
 
 } // namespace
 
--- a/src/blackboard/task_queue_base.h
+++ b/src/blackboard/task_queue_base.h
@@ -93,7 +93,7 @@
     };
 
     static constexpr std::size_t UrgencyCount = 3; ///< Number of urgencies.
-    static constexpr std::size_t SizeCount = 4; ///< Number of classes of job size.
+    static constexpr std::size_t SizeCount = 8; ///< Number of classes of job size.
 
     static std::size_t sizeClassOf(std::uint32_t jobTasks);
     Lane &laneFor(const QueueRank &rank, const TeamName &team, const KindName &kind);
