Admission tests whether all admitted work can be served in time

Change: a job is admitted if it and all that waits can be served by a quarter of their timeouts under earliest deadline first (DeadlineLoad), and if the work ahead of its own class of size is short; a job that has waited for a quarter of its timeout is promoted to the first class.

--- a/src/blackboard/blackboard.cpp
+++ b/src/blackboard/blackboard.cpp
@@ -12,7 +12,7 @@
     }
     const KindConfig *config = findKind(board.config, kind);
     const Duration expected = config == nullptr ? KindConfig().expectedRunTime : config->expectedRunTime;
-    return board.kinds.emplace(kind, KindLoad{RunTimeEstimate(expected), 0, 0}).first->second;
+    return board.kinds.emplace(kind, KindLoad{RunTimeEstimate(expected), 0, {}}).first->second;
 }
 
 bool isIdempotent(const Blackboard &board, const KindName &kind)
--- a/src/blackboard/blackboard.h
+++ b/src/blackboard/blackboard.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "blackboard/config_type.h"
+#include "blackboard/deadline_load_base.h"
 #include "blackboard/endpoint_base.h"
 #include "blackboard/instance_lifecycle.h"
 #include "blackboard/job_base.h"
@@ -11,6 +12,7 @@
 #include "blackboard/task_queue_base.h"
 #include "core/random_base.h"
 
+#include <array>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -22,7 +24,7 @@
 struct KindLoad {
     RunTimeEstimate runTime; ///< Learned run times.
     std::uint32_t running = 0; ///< Attempts in flight.
-    std::uint32_t waiting = 0; ///< Tasks that wait.
+    std::array<std::uint32_t, SizeClassCount> waiting{}; ///< Tasks that wait, by class of their job.
 };
 
 /** Load of one team. */
@@ -41,6 +43,7 @@
     EndpointTable endpoints; ///< Endpoints of the own failure domain.
     JobTable jobs; ///< Jobs that this instance is home of.
     TaskQueue queue; ///< Waiting tasks.
+    DeadlineLoad dueWork; ///< Waiting work by when it is wanted.
     PeerTable peers; ///< Links to other instances.
     std::unordered_map<KindName, KindLoad> kinds; ///< Load by kind.
     std::unordered_map<TeamName, TeamLoad> teams; ///< Load by team.
--- a/src/blackboard/job_base.h
+++ b/src/blackboard/job_base.h
@@ -10,6 +10,12 @@
 namespace Tanagertally {
 
 using JobId = StrongInt<struct JobIdTag>; ///< Job, numbered by this process.
+using SizeClass = StrongInt<struct SizeClassTag, std::uint8_t>; ///< Class of jobs of about the same number of tasks; 0 for single tasks.
+
+inline constexpr std::size_t SizeClassCount = 8; ///< Number of classes of job size.
+
+/** @return The class of jobs with so many tasks. */
+SizeClass sizeClassOf(std::size_t jobTasks);
 
 /** A forwarded request of a peer that awaits a reply. */
 struct PeerReplyTarget {
@@ -70,6 +76,9 @@
     TimePoint submittedAt{}; ///< When it was submitted here.
     TimePoint deadline{}; ///< When it is answered at the latest.
     std::vector<TaskRecord> tasks; ///< Its tasks.
+    TimePoint wantedAt{}; ///< When its waiting tasks are wanted to be served, well before its deadline.
+    Duration meanWork{}; ///< Mean run time of its tasks, as estimated at its submission.
+    SizeClass sizeClass; ///< Class in which its tasks are queued; 0 once it has waited for long.
     std::uint32_t waiting = 0; ///< Tasks that wait.
     std::uint32_t running = 0; ///< Tasks that run.
     std::uint32_t ended = 0; ///< Tasks that ended.
--- a/src/blackboard/task_queue.cpp
+++ b/src/blackboard/task_queue.cpp
@@ -6,20 +6,21 @@
 
 namespace {
 
-constexpr std::array<std::uint32_t, 7> SizeLimits = {2, 3, 5, 9, 17, 33, 65}; // tasks; from each of these a job is in the next class
+constexpr std::array<std::size_t, SizeClassCount - 1> SizeLimits
+    = {2, 3, 5, 9, 17, 33, 65}; // tasks; from each of these a job is in the next class
 constexpr std::uint32_t LargestFirstEvery = 32; // tasks
 
 } // namespace
 
-std::size_t TaskQueue::sizeClassOf(std::uint32_t jobTasks)
+SizeClass sizeClassOf(std::size_t jobTasks)
 {
     const auto *const end = std::upper_bound(SizeLimits.begin(), SizeLimits.end(), jobTasks);
-    return static_cast<std::size_t>(end - SizeLimits.begin());
+    return SizeClass(static_cast<std::uint8_t>(end - SizeLimits.begin()));
 }
 
 TaskQueue::Lane &TaskQueue::laneFor(const QueueRank &rank, const TeamName &team, const KindName &kind)
 {
-    RankClass &rankClass = this->classes[static_cast<std::size_t>(rank.urgency)][sizeClassOf(rank.jobTasks)];
+    RankClass &rankClass = this->classes[static_cast<std::size_t>(rank.urgency)][rank.sizeClass.value];
     const auto found = rankClass.byTeam.find(team);
     if (found == rankClass.byTeam.end()) {
         rankClass.ring.push_back(TeamQueue{team, rank.teamWeight, rank.teamWeight, 0, {}});
@@ -102,9 +103,9 @@
 std::optional<QueuedTask> TaskQueue::take(const Judge &judge)
 {
     const bool largestFirst = this->takes % LargestFirstEvery == LargestFirstEvery - 1;
-    for (std::array<RankClass, SizeCount> &sizes : this->classes) {
-        for (std::size_t step = 0; step < SizeCount; ++step) {
-            RankClass &rankClass = sizes[largestFirst ? SizeCount - 1 - step : step];
+    for (std::array<RankClass, SizeClassCount> &sizes : this->classes) {
+        for (std::size_t step = 0; step < SizeClassCount; ++step) {
+            RankClass &rankClass = sizes[largestFirst ? SizeClassCount - 1 - step : step];
             std::optional<QueuedTask> task = takeFromClass(rankClass, judge);
             if (task) {
                 ++this->takes;
--- a/src/blackboard/task_queue_base.h
+++ b/src/blackboard/task_queue_base.h
@@ -25,7 +25,7 @@
 /** Where a task stands in the order of the queue. */
 struct QueueRank {
     Urgency urgency = Urgency::Normal; ///< More urgent ones come first.
-    std::uint32_t jobTasks = 1; ///< Number of tasks of its job; smaller jobs come first.
+    SizeClass sizeClass; ///< Class of its job's size; smaller jobs come first.
     std::uint32_t teamWeight = 1; ///< Share of its team; at least 1.
 };
 
@@ -93,14 +93,12 @@
     };
 
     static constexpr std::size_t UrgencyCount = 3; ///< Number of urgencies.
-    static constexpr std::size_t SizeCount = 8; ///< Number of classes of job size.
 
-    static std::size_t sizeClassOf(std::uint32_t jobTasks);
     Lane &laneFor(const QueueRank &rank, const TeamName &team, const KindName &kind);
     static std::optional<QueuedTask> takeFromTeam(TeamQueue &team, const Judge &judge);
     static std::optional<QueuedTask> takeFromClass(RankClass &rankClass, const Judge &judge);
 
-    std::array<std::array<RankClass, SizeCount>, UrgencyCount> classes; ///< Classes by urgency and size.
+    std::array<std::array<RankClass, SizeClassCount>, UrgencyCount> classes; ///< Classes by urgency and size.
     std::uint32_t takes = 0; ///< Counts tasks taken.
 };
 
--- a/src/blackboard/task_state.cpp
+++ b/src/blackboard/task_state.cpp
@@ -22,8 +22,10 @@
 void countWaiting(Blackboard &board, const JobRecord &job, std::uint32_t task, bool added)
 {
     const std::uint32_t step = added ? 1 : static_cast<std::uint32_t>(-1);
-    kindLoad(board, job.spec.tasks[task].kind).waiting += step;
+    kindLoad(board, job.spec.tasks[task].kind).waiting[job.sizeClass.value] += step;
     board.teams[job.team].waiting += step;
+    const DueWork work{job.wantedAt, job.meanWork};
+    added ? board.dueWork.add(work) : board.dueWork.remove(work);
     board.stats.queued += added ? 1 : static_cast<std::uint64_t>(-1);
 }
 
@@ -73,6 +75,18 @@
     }
 }
 
+void changeSizeClass(Blackboard &board, JobRecord &job, SizeClass sizeClass)
+{
+    for (std::uint32_t task = 0; task < job.tasks.size(); ++task) {
+        if (job.tasks[task].state == TaskState::Waiting) {
+            KindLoad &load = kindLoad(board, job.spec.tasks[task].kind);
+            --load.waiting[job.sizeClass.value];
+            ++load.waiting[sizeClass.value];
+        }
+    }
+    job.sizeClass = sizeClass;
+}
+
 Verdict verdictOf(const JobRecord &job)
 {
     Verdict verdict = Verdict::NotRun;
--- a/src/blackboard/task_state_func.h
+++ b/src/blackboard/task_state_func.h
@@ -32,6 +32,14 @@
  */
 void failJob(Blackboard &board, JobRecord &job, ErrorCode reason, std::string message);
 
+/**
+ * Move a job to another class of size, with the counters of its waiting tasks.
+ * @param board The state.
+ * @param job The job.
+ * @param sizeClass Its new class.
+ */
+void changeSizeClass(Blackboard &board, JobRecord &job, SizeClass sizeClass);
+
 /** @return The verdict on a job as a whole: that of the task with the strongest one. */
 Verdict verdictOf(const JobRecord &job);
 
--- a/src/controllers/admission.cpp
+++ b/src/controllers/admission.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <numeric>
 
 namespace Tanagertally {
 
@@ -14,6 +15,7 @@
 constexpr Duration ShortestRetry = std::chrono::milliseconds(50);
 constexpr double InfeasibleQuantile = 0.05;
 constexpr std::uint64_t SamplesToJudge = 50; // measured run times before a kind is called infeasible
+constexpr std::int64_t WaitShareOfTimeout = 4; // a job may wait for this part of its timeout
 constexpr double RetrySpread = 0.5; // random addition to the time to come back, as a share of it
 
 /** Slots that this instance can count on, its own and those that peers reported free. */
@@ -34,11 +36,13 @@
     return slots;
 }
 
-Duration waitingWork(const Blackboard &board)
+/** Run times of the waiting tasks that are served before those of a job of a class of size. */
+Duration waitingWork(const Blackboard &board, SizeClass sizeClass)
 {
     Duration work{};
     for (const auto &[kind, load] : board.kinds) {
-        work += load.runTime.mean() * load.waiting;
+        const auto *const end = load.waiting.begin() + sizeClass.value + 1;
+        work += load.runTime.mean() * std::accumulate(load.waiting.begin(), end, 0U);
     }
     return work;
 }
@@ -100,6 +104,11 @@
     return std::nullopt;
 }
 
+TimePoint wantedAt(const Blackboard &board, const JobSpec &job)
+{
+    return board.now + job.timeout / WaitShareOfTimeout;
+}
+
 std::optional<AdmissionRefusal> checkAdmission(Blackboard &board, const TeamName &team, const JobSpec &job)
 {
     const std::uint32_t slots = slotsInReach(board);
@@ -111,12 +120,13 @@
     if (std::optional<AdmissionRefusal> refusal = checkQuota(board, team, job, work)) {
         return refusal;
     }
-    const Duration wait = waitingWork(board) / static_cast<std::int64_t>(slots);
-    const Duration finish = wait + work / static_cast<std::int64_t>(slots);
-    if (wait <= board.config.policy.maxQueueWait && finish <= job.timeout) {
+    const Duration wait = waitingWork(board, sizeClassOf(job.tasks.size())) / static_cast<std::int64_t>(slots);
+    const Duration longestWait = std::max(board.config.policy.maxQueueWait, job.timeout / WaitShareOfTimeout);
+    const Duration late = board.dueWork.lateness(board.now, DueWork{wantedAt(board, job), work}, slots);
+    if (wait <= longestWait && late == Duration::zero()) {
         return std::nullopt;
     }
-    const Duration excess = std::max(wait - board.config.policy.maxQueueWait, finish - job.timeout);
+    const Duration excess = std::max(wait - longestWait, late);
     return AdmissionRefusal{makeError(ErrorCode::Overloaded, "the job can't be finished in time"), withSpread(board, excess)};
 }
 
--- a/src/controllers/dispatch_controller.cpp
+++ b/src/controllers/dispatch_controller.cpp
@@ -8,6 +8,7 @@
 
 constexpr std::uint8_t MaxAttempts = 3; // attempts that may have reached an endpoint, per task
 constexpr std::uint8_t MaxRefusals = 100; // attempts that certainly did not start, per task
+constexpr std::int64_t PromotionShareOfTimeout = 4; // a job is promoted after this part of its timeout
 constexpr double RetryBurst = 100; // retries
 constexpr double HedgeBurst = 20; // hedges
 constexpr double RetryRefillPerSecond = 10; // retries
@@ -83,7 +84,7 @@
     const Urgency urgency = kindConfig == nullptr ? Urgency::Normal : kindConfig->urgency;
     const TeamConfig *teamConfig = findTeam(this->board.config, job.team);
     const std::uint32_t weight = teamConfig == nullptr ? 1 : std::max(1U, teamConfig->weight);
-    const QueueRank rank{urgency, static_cast<std::uint32_t>(job.tasks.size()), weight};
+    const QueueRank rank{urgency, job.sizeClass, weight};
     QueuedTask queued{job.id, task, kind};
     if (front) {
         this->board.queue.pushFront(rank, job.team, std::move(queued));
@@ -94,6 +95,9 @@
 
 void DispatchController::enqueue(JobRecord &job, std::uint32_t first, std::uint32_t last)
 {
+    if (job.sizeClass != SizeClass()) {
+        this->promotions.add(job.submittedAt + job.spec.timeout / PromotionShareOfTimeout, job.id);
+    }
     for (std::uint32_t task = first; task < last; ++task) {
         if (job.tasks[task].state == TaskState::Waiting) {
             this->queueTask(job, task, false);
@@ -174,8 +178,24 @@
     this->checks.add(this->board.now + std::max(ShortestLimit, high * LimitFactor), Check{attempt.id, CheckKind::Limit});
 }
 
+void DispatchController::promote(JobRecord &job)
+{
+    if (job.failing || job.waiting == 0 || job.sizeClass == SizeClass()) {
+        return;
+    }
+    changeSizeClass(this->board, job, SizeClass());
+    const auto limit = std::min(job.startLimit, static_cast<std::uint32_t>(job.tasks.size()));
+    this->enqueue(job, 0, limit);
+}
+
 void DispatchController::advance()
 {
+    while (const std::optional<JobId> id = this->promotions.takeDue(this->board.now)) {
+        JobRecord *job = this->board.jobs.find(*id);
+        if (job != nullptr) {
+            this->promote(*job);
+        }
+    }
     while (const std::optional<Check> check = this->checks.takeDue(this->board.now)) {
         this->runCheck(*check);
     }
@@ -189,7 +209,7 @@
 
 TimePoint DispatchController::nextDeadline() const
 {
-    return std::min(this->checks.next(), this->delayed.next());
+    return std::min({this->checks.next(), this->delayed.next(), this->promotions.next()});
 }
 
 void DispatchController::runCheck(const Check &check)
--- a/src/controllers/dispatch_controller.h
+++ b/src/controllers/dispatch_controller.h
@@ -87,6 +87,7 @@
         CheckKind kind = CheckKind::Overdue; ///< What to check.
     };
 
+    void promote(JobRecord &job);
     void queueTask(JobRecord &job, std::uint32_t task, bool front);
     TaskQueue::Choice judge(const QueuedTask &next, const TeamName &team, EndpointRecord *&chosen);
     void start(JobRecord &job, std::uint32_t task, EndpointRecord &endpoint);
@@ -111,6 +112,7 @@
     AnyChoice choice; ///< Policy that chooses endpoints.
     std::unordered_map<AttemptId, Attempt> attempts; ///< Attempts in flight.
     DeadlineQueue<Check> checks; ///< Checks of attempts in flight.
+    DeadlineQueue<JobId> promotions; ///< When waiting jobs come before smaller ones.
     DeadlineQueue<QueuedTask> delayed; ///< Retries that wait for the budget.
     std::vector<QueuedTask> parked; ///< Tasks of durable jobs that wait for the start lease.
     TokenBudget retryBudget; ///< Bounds retries.
--- a/src/controllers/job_controller.cpp
+++ b/src/controllers/job_controller.cpp
@@ -1,5 +1,6 @@
 #include "controllers/job_controller.h"
 
+#include "controllers/admission_func.h"
 #include "controllers/key_type.h"
 #include "core/hash_func.h"
 
@@ -62,9 +63,16 @@
     const auto count = static_cast<std::uint32_t>(record.spec.tasks.size());
     record.tasks.resize(count);
     record.waiting = count;
+    record.sizeClass = sizeClassOf(count);
+    Duration work{};
     for (const TaskSpec &task : record.spec.tasks) {
-        ++kindLoad(this->board, task.kind).waiting;
+        KindLoad &load = kindLoad(this->board, task.kind);
+        ++load.waiting[record.sizeClass.value];
+        work += load.runTime.mean();
     }
+    record.meanWork = work / count;
+    record.wantedAt = wantedAt(this->board, record.spec);
+    this->board.dueWork.add(DueWork{record.wantedAt, record.meanWork * count});
     this->board.teams[record.team].waiting += count;
     this->board.stats.queued += count;
     ++this->board.stats.jobsSubmitted;
