--- a/src/caller/http_session.h
+++ b/src/caller/http_session.h
@@ -1,11 +1,8 @@
 /** One connection of the HTTP server: a state machine that reads one request at a time and writes its reply. */
 #pragma once
 
-#include "caller/http_calls.h"
-#include "caller/http_gate.h"
-#include "caller/http_handler.h"
+#include "caller/http_core.h"
 #include "caller/http_wire_func.h"
-#include "controllers/event_queue.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -15,36 +12,10 @@
 #include <boost/beast/http/write.hpp>
 
 #include <array>
-#include <atomic>
 #include <optional>
 
 namespace Tanagertally {
 
-template<HttpHandler Handler>
-class HttpSession;
-
-/** What the connections of one listener share. */
-template<HttpHandler Handler>
-struct HttpCore {
-    std::shared_ptr<Handler> handler; ///< Makes replies and events of requests.
-    EventQueue &events; ///< Where events go.
-    HttpLimits limits; ///< Limits of the listener.
-    std::shared_ptr<HttpGate> gate; ///< Admission of connections and requests.
-    HttpCalls<HttpSession<Handler>> calls; ///< Open connections and calls that await a reply.
-    WorkCount writing; ///< Replies that are not yet written.
-    WorkCount open; ///< Connections not yet destroyed.
-    std::atomic<bool> stopping = false; ///< Whether connections end with their next reply.
-
-    /** Make the shared part of a listener. */
-    HttpCore(std::shared_ptr<Handler> sharedHandler, EventQueue &eventQueue, const HttpLimits &listenerLimits)
-        : handler(std::move(sharedHandler))
-        , events(eventQueue)
-        , limits(listenerLimits)
-        , gate(std::make_shared<HttpGate>(listenerLimits))
-    {
-    }
-};
-
 /**
  * One connection. While a call awaits its reply, one read stays outstanding, so that a caller who closes the connection is
  * noticed; what it reads is the start of the next request.
@@ -107,8 +78,8 @@
 private:
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
-    static constexpr std::size_t ReadChunkBytes = 8 * 1024; ///< Most bytes taken by one read.
-    static constexpr std::size_t MaxPipelinedBytes = 16 * 1024; ///< Bytes of later requests held while one is served.
+    static constexpr std::size_t ReadChunkBytes = 8192; ///< Most bytes taken by one read.
+    static constexpr std::size_t MaxPipelinedBytes = 16384; ///< Bytes of later requests held while one is served.
 
     /** What the connection is doing. */
     enum class Phase : std::uint8_t {
@@ -181,10 +152,7 @@
                 this->onHeaderRead();
             }
         }
-        if (this->phase == Phase::Closed) {
-            return;
-        }
-        if (this->parser->is_done()) {
+        if (this->parser->is_done() && this->phase != Phase::Closed) {
             this->dispatch();
             return;
         }
@@ -224,14 +192,14 @@
 
     void dispatch()
     {
-        HttpRequest request = this->parser->release();
+        const HttpRequest request = this->parser->release();
         this->parser.reset();
         if (!this->core->gate->admitRequest(this->remote, std::chrono::steady_clock::now())) {
             this->send(this->core->handler->refuse(HttpRefusal::TooManyRequests), this->core->writing.begin());
             return;
         }
         const RequestId id = this->core->events.nextRequestId();
-        HttpOutcome outcome = this->core->handler->handle(std::move(request), id);
+        HttpOutcome outcome = this->core->handler->handle(request, id);
         if (HttpReply *reply = std::get_if<HttpReply>(&outcome)) {
             this->send(std::move(*reply), this->core->writing.begin());
             return;
@@ -274,7 +242,7 @@
         this->send(std::move(reply), this->core->writing.begin());
     }
 
-    void send(HttpReply reply, WorkCount::Token token)
+    void send(HttpReply reply, WorkCount::Token &&token)
     {
         this->phase = Phase::Writing;
         this->writeToken = std::move(token);
--- a/src/endpoint/http_pool.cpp
+++ b/src/endpoint/http_pool.cpp
@@ -41,6 +41,10 @@
         endUnsent(call, "closed");
         return;
     }
+    if (call.deadline && *call.deadline <= std::chrono::steady_clock::now()) {
+        endUnsent(call, "timeout before sending");
+        return;
+    }
     const std::shared_ptr<HttpConnection> connection = this->connectionFor(call);
     if (connection) {
         this->run(connection, std::move(call));
@@ -76,7 +80,7 @@
     connection->exchange(std::move(call.request), call.deadline, std::move(finished));
 }
 
-void HttpPool::release(const std::shared_ptr<HttpConnection> &connection, asio::ip::tcp::endpoint openedTo)
+void HttpPool::release(const std::shared_ptr<HttpConnection> &connection, const asio::ip::tcp::endpoint &openedTo)
 {
     const bool wanted = !this->closed && openedTo == this->address;
     if (wanted && connection->isIdle()) {
--- a/src/endpoint/tests/test_server.h
+++ b/src/endpoint/tests/test_server.h
@@ -9,6 +9,8 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
+#include <linux/filter.h>
+
 #include <atomic>
 #include <functional>
 #include <list>
@@ -58,6 +60,13 @@
     {
         this->send("HTTP/1.1 " + status + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n" + fields + "\r\n" + body);
     }
+    /** Wait for the first byte of a request and leave the rest unread. */
+    void awaitByte()
+    {
+        char byte = 0;
+        boost::system::error_code ignored;
+        this->socket.read_some(boost::asio::buffer(&byte, 1), ignored);
+    }
     /** Wait without reading a request until the client or the server has closed. */
     void awaitClose()
     {
@@ -67,6 +76,13 @@
             this->socket.read_some(boost::asio::buffer(&byte, 1), error);
         }
     }
+    /** Drop all that the client sends from now on in the kernel, as a network that has lost track of the connection does. */
+    void goSilent()
+    {
+        sock_filter dropAll = BPF_STMT(BPF_RET | BPF_K, 0);
+        const sock_fprog program{1, &dropAll};
+        ::setsockopt(this->socket.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program);
+    }
     void shutDown()
     {
         ::shutdown(this->socket.native_handle(), SHUT_RDWR);
