--- a/tests/properties/schedule_run.cpp
+++ b/tests/properties/schedule_run.cpp
@@ -82,6 +82,9 @@
     if (this->trace) {
         this->trace(at, line);
     }
+    if (line.find(" log config-accepted ") != std::string::npos) {
+        this->checkAccepted(std::stoull(line.substr(line.find('=') + 1)));
+    }
     if (!line.ends_with(" exits")) {
         return;
     }
@@ -129,6 +132,16 @@
     this->session.at(this->session.now() + SampleInterval, [this] { this->sampleVersions(); });
 }
 
+void ScheduleRun::checkAccepted(std::uint64_t version)
+{
+    for (std::uint32_t instance = 0; instance < this->session.instanceCount(); ++instance) {
+        const std::uint64_t inForce = this->session.isRunning(instance) ? this->session.stats(instance).configVersion : 0;
+        if (inForce != 0 && inForce < version) {
+            this->violations.push_back(fmt::format("version {} was accepted, but {} is in force at e{}", version, inForce, instance));
+        }
+    }
+}
+
 void ScheduleRun::askForAccepted()
 {
     std::set<std::uint32_t> accepted;
@@ -219,6 +232,7 @@
         return;
     case StepKind::Pause:
         this->setBlind(instance, step.lengthMs);
+        this->pauses.push_back(this->blind.back());
         this->session.pause(instance);
         this->later(step.lengthMs, [this, instance] { this->session.resume(instance); });
         return;
@@ -267,6 +281,9 @@
         this->session.listLeaving(worker, true);
         this->later(step.lengthMs, [this, worker] { this->session.listLeaving(worker, false); });
         return;
+    case StepKind::Configure:
+        this->session.operate(instance, OperatorName("ada"), fmt::format("set limit kind lookup concurrency {}", 50 + step.variant));
+        return;
     case StepKind::SlowWorker:
         this->session.setSlowness(worker, 2.0 + step.variant);
         this->later(step.lengthMs, [this, worker] { this->session.setSlowness(worker, 1.0); });
--- a/tests/properties/schedule_run.h
+++ b/tests/properties/schedule_run.h
@@ -49,6 +49,7 @@
     std::map<std::uint32_t, std::vector<InstanceEnd>> ends; ///< Ends by instance.
     std::vector<Outage> leaving; ///< Times in which the list named a worker as leaving.
     std::vector<Outage> blind; ///< Times in which an instance could not follow the instance list.
+    std::vector<Outage> pauses; ///< Times in which an instance was paused.
     std::vector<std::string> violations; ///< Invariants that did not hold while the schedule ran.
 
 private:
@@ -61,6 +62,7 @@
     void setBlind(std::uint32_t instance, std::uint32_t lengthMs);
     void askForAccepted();
     void sampleVersions();
+    void checkAccepted(std::uint64_t version);
 
     Session::TraceHandler trace; ///< Gets the transcript.
     std::map<std::uint32_t, TimePoint> stopAsked; ///< Planned stops that go on, by instance.
