--- a/src/controllers/dispatch_controller.cpp
+++ b/src/controllers/dispatch_controller.cpp
@@ -8,7 +8,7 @@
 
 constexpr std::uint8_t MaxAttempts = 3; // attempts that may have reached an endpoint, per task
 constexpr std::uint8_t MaxRefusals = 100; // attempts that certainly did not start, per task
-constexpr std::int64_t PromotionShareOfTimeout = 4; // a job is promoted after this part of its timeout
+constexpr std::int64_t PromotionShareOfTimeout = 2; // a job is promoted after this part of its timeout
 constexpr double RetryBurst = 100; // retries
 constexpr double HedgeBurst = 20; // hedges
 constexpr double RetryRefillPerSecond = 10; // retries
