--- a/src/controllers/dispatch_controller.cpp
+++ b/src/controllers/dispatch_controller.cpp
@@ -15,10 +15,9 @@
 constexpr Duration TrustedIdleNonIdempotent = std::chrono::seconds(2);
 constexpr Duration TrustedIdleIdempotent = std::chrono::seconds(20);
 constexpr double HedgeQuantile = 0.97;
-constexpr double OverdueQuantile = 0.99;
-constexpr int OverdueFactor = 3;
+constexpr int OverdueFactor = 2; // times the longest recent run time
 constexpr Duration ShortestOverdue = std::chrono::milliseconds(500);
-constexpr int LimitFactor = 20;
+constexpr int LimitFactor = 10; // times the longest recent run time
 constexpr Duration ShortestLimit = std::chrono::seconds(10);
 constexpr double SlownessSmoothing = 0.05;
 
@@ -84,12 +83,13 @@
     const Urgency urgency = kindConfig == nullptr ? Urgency::Normal : kindConfig->urgency;
     const TeamConfig *teamConfig = findTeam(this->board.config, job.team);
     const std::uint32_t weight = teamConfig == nullptr ? 1 : std::max(1U, teamConfig->weight);
+    const QueueRank rank{urgency, static_cast<std::uint32_t>(job.tasks.size()), weight};
     QueuedTask queued{job.id, task, kind};
     if (front) {
-        this->board.queue.pushFront(urgency, job.team, weight, std::move(queued));
+        this->board.queue.pushFront(rank, job.team, std::move(queued));
         return;
     }
-    this->board.queue.pushBack(urgency, job.team, weight, std::move(queued));
+    this->board.queue.pushBack(rank, job.team, std::move(queued));
 }
 
 void DispatchController::enqueue(JobRecord &job, std::uint32_t first, std::uint32_t last)
@@ -169,7 +169,7 @@
     if (attempt.idempotent && kind != nullptr && kind->hedged) {
         this->checks.add(this->board.now + runTime.quantile(HedgeQuantile), Check{attempt.id, CheckKind::Hedge});
     }
-    const Duration high = runTime.quantile(OverdueQuantile);
+    const Duration high = runTime.longest();
     this->checks.add(this->board.now + std::max(ShortestOverdue, high * OverdueFactor), Check{attempt.id, CheckKind::Overdue});
     this->checks.add(this->board.now + std::max(ShortestLimit, high * LimitFactor), Check{attempt.id, CheckKind::Limit});
 }
@@ -206,7 +206,9 @@
         break;
     case CheckKind::Overdue:
         attempt.overdue = true;
-        if (endpoint != nullptr) {
+        if (endpoint != nullptr && endpoint->answeredAt > attempt.startedAt) {
+            this->endpointProbed(endpoint->id);
+        } else if (endpoint != nullptr) {
             this->endpoints.probe(*endpoint);
         }
         break;
@@ -241,7 +243,7 @@
     this->outbox.emit(AbandonAttempt{attempt.id});
 }
 
-void DispatchController::endpointAnswered(EndpointId endpoint)
+void DispatchController::endpointProbed(EndpointId endpoint)
 {
     for (auto &[id, attempt] : this->attempts) {
         if (attempt.endpoint == endpoint && attempt.overdue && attempt.idempotent && !attempt.abandoned) {
@@ -299,6 +301,9 @@
     if (task.state == TaskState::Ended) {
         return;
     }
+    if (ended.outcome != AttemptOutcome::Succeeded) {
+        this->noteFailure(*job, attempt, ended);
+    }
     switch (ended.outcome) {
     case AttemptOutcome::Succeeded:
         this->succeeded(*job, attempt, ended);
@@ -318,6 +323,18 @@
     }
 }
 
+void DispatchController::noteFailure(const JobRecord &job, const Attempt &attempt, const AttemptEnded &ended)
+{
+    constexpr std::array<std::string_view, 7> Names
+        = {"succeeded", "task-failed", "endpoint-failed", "refused-busy", "refused-leaving", "not-delivered", "lost"};
+    const EndpointRecord *endpoint = this->board.endpoints.find(attempt.endpoint);
+    this->outbox.note("attempt-ended", {{"key", job.key.value},
+                                        {"task", std::to_string(attempt.task)},
+                                        {"worker", endpoint == nullptr ? std::string() : endpoint->listed.worker.value},
+                                        {"outcome", std::string(Names.at(static_cast<std::size_t>(ended.outcome)))},
+                                        {"error", ended.error}});
+}
+
 void DispatchController::succeeded(JobRecord &job, const Attempt &attempt, AttemptEnded &ended)
 {
     endTask(this->board, job, attempt.task, TaskAnswer{Verdict::Ran, true, std::move(ended.output), {}});
@@ -380,6 +397,8 @@
         return;
     }
     ++this->board.stats.retries;
+    this->outbox.note("retry",
+                      {{"key", job.key.value}, {"task", std::to_string(task)}, {"attempts", std::to_string(job.tasks[task].attempts)}});
     this->queueTask(job, task, true);
 }
 
--- a/src/controllers/drain_controller.cpp
+++ b/src/controllers/drain_controller.cpp
@@ -13,8 +13,8 @@
 
 RowKey drainRowKey(DrainScope scope, std::string_view name)
 {
-    constexpr std::array<std::string_view, 4> names = {"worker", "rack", "domain", "instance"};
-    return RowKey(fmt::format("{}{}/{}", DrainPrefix, names.at(static_cast<std::size_t>(scope)), name));
+    constexpr std::array<std::string_view, 4> Names = {"worker", "rack", "domain", "instance"};
+    return RowKey(fmt::format("{}{}/{}", DrainPrefix, Names.at(static_cast<std::size_t>(scope)), name));
 }
 
 } // namespace
@@ -109,6 +109,11 @@
 
 void DrainController::apply()
 {
+    const InstanceName &self = this->board.identity.name;
+    const auto drainsSelf = [&](const DrainRow &drain) { return drain.scope == DrainScope::Instance && drain.name == self.value; };
+    if (std::any_of(this->rows.begin(), this->rows.end(), drainsSelf)) {
+        this->board.lifecycle.apply(InstanceSignal::StopAsked);
+    }
     for (auto &[id, endpoint] : this->board.endpoints.all()) {
         this->endpoints.setDrained(endpoint.listed.worker, this->isDrained(endpoint));
     }
--- a/src/endpoint/http_connection.cpp
+++ b/src/endpoint/http_connection.cpp
@@ -23,7 +23,7 @@
 constexpr int KeepaliveProbes = 3; ///< Unanswered probes after which the connection fails.
 constexpr std::chrono::milliseconds UserTimeout{4'000}; ///< Longest time that written data may stay unacknowledged.
 constexpr std::uint32_t MaxAnswerHeaderBytes = 8 * 1024; ///< Longest header of an answer.
-constexpr std::size_t FirstBufferBytes = 2 * 1024; ///< Memory set aside for answers at first.
+constexpr std::size_t FirstBufferBytes = 2'048; ///< Memory set aside for answers at first.
 constexpr int FirstFinalStatus = 200; ///< Lower statuses announce an answer that is still to come.
 
 using KeepaliveIdleOption = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
@@ -184,13 +184,14 @@
         return;
     }
     this->abortReason = reason;
-    // Bytes that the kernel has not sent yet are dropped rather than delivered late.
-    error_code ignored;
-    this->socket.set_option(asio::socket_base::linger(true, 0), ignored);
-    this->closeSocket();
-    if (!this->done) {
+    if (this->done) {
+        // Bytes that the kernel has not sent yet are dropped rather than delivered late.
+        error_code ignored;
+        this->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    } else {
         this->life.failed(0);
     }
+    this->closeSocket();
 }
 
 void HttpConnection::fail(std::string_view reason, std::size_t bytesWritten)
@@ -206,9 +207,7 @@
 void HttpConnection::finish(HttpResult result)
 {
     ++this->timerRound;
-    if (this->deadline) {
-        this->timer.cancel();
-    }
+    this->timer.cancel();
     this->request = {};
     const HttpResultHandler handler = std::exchange(this->done, {});
     handler(std::move(result));
