--- a/bench/session/session_endpoints.cpp
+++ b/bench/session/session_endpoints.cpp
@@ -108,8 +108,8 @@
     ++worker.running;
     const bool fails = worker.mode == EndpointMode::FailsAll;
     const bool poisoned = *start.payload == "\"poison\"";
-    const Duration own = this->options.payloadRunTime ? this->options.payloadRunTime(start.payload, this->random)
-                                                      : this->options.runTime(kind, this->random);
+    const Duration own
+        = this->options.payloadRunTime ? this->options.payloadRunTime(start.payload, this->random) : this->options.runTime(kind, this->random);
     const Duration drawn = std::chrono::duration_cast<Duration>(own * worker.slowness);
     const Duration runTime = fails ? FailingRunTime : drawn;
     this->schedule(runTime, [this, flight, fails, poisoned, runTime, back, key, task] {
