--- a/bench/cost.cpp
+++ b/bench/cost.cpp
@@ -170,8 +170,8 @@
 
 std::string measureCosts()
 {
-    constexpr std::array<std::uint32_t, 4> endpointCounts = {16, 64, 256, 1024};
-    constexpr std::array<std::uint32_t, 4> peerCounts = {2, 8, 32, 128};
+    constexpr std::array<std::uint32_t, 4> EndpointCounts = {16, 64, 256, 1024};
+    constexpr std::array<std::uint32_t, 4> PeerCounts = {2, 8, 32, 128};
     std::string text = "Processor time of the decision part, least of 5 repeats\n";
     text += taskCost(20000, 1, 16) + taskCost(20000, 1, 256) + taskCost(200, 100, 16) + taskCost(20, 1000, 16);
     text += "\nHeap in use, by size\n";
@@ -182,11 +182,11 @@
                     [](CostInstance &instance, std::uint32_t jobs) { answerJobs(instance, jobs, true); });
     text += heapRow("keys issued and unused", "bytes per key",
                     [](CostInstance &instance, std::uint32_t keys) { issueMany(instance, keys); });
-    text += sizeRow("endpoints of the own domain", "bytes per endpoint", endpointCounts, false, wholeHeap);
-    text += sizeRow("peers", "bytes per peer", peerCounts, true, wholeHeap);
+    text += sizeRow("endpoints of the own domain", "bytes per endpoint", EndpointCounts, false, wholeHeap);
+    text += sizeRow("peers", "bytes per peer", PeerCounts, true, wholeHeap);
     text += "\nProcessor time while idle: instance list each 500 ms, heartbeats of each peer each 100 ms\n";
-    text += sizeRow("idle, by endpoints (2 peers)", "ns per second and endpoint", endpointCounts, false, idleNanosPerSecond);
-    text += sizeRow("idle, by peers (16 endpoints)", "ns per second and peer", peerCounts, true, idleNanosPerSecond);
+    text += sizeRow("idle, by endpoints (2 peers)", "ns per second and endpoint", EndpointCounts, false, idleNanosPerSecond);
+    text += sizeRow("idle, by peers (16 endpoints)", "ns per second and peer", PeerCounts, true, idleNanosPerSecond);
     return text;
 }
 
--- a/bench/plot.cpp
+++ b/bench/plot.cpp
@@ -37,11 +37,11 @@
 std::string axes()
 {
     std::string svg;
-    constexpr std::array<std::string_view, 5> shares = {"0", "90%", "99%", "99.9%", "99.99%"};
-    for (std::size_t nines = 0; nines < shares.size(); ++nines) {
+    constexpr std::array<std::string_view, 5> Shares = {"0", "90%", "99%", "99.9%", "99.99%"};
+    for (std::size_t nines = 0; nines < Shares.size(); ++nines) {
         const double x = xOf(static_cast<double>(nines));
         svg += fmt::format("<path d=\"M{0:.1f} {1} V{2}\" stroke=\"#ddd\"/>\n", x, Margin, Height - Margin);
-        svg += label(x - 12, Height - Margin + 16, shares.at(nines));
+        svg += label(x - 12, Height - Margin + 16, Shares.at(nines));
     }
     for (const double ratio : {1.0, 2.0, 5.0, 10.0, 100.0}) {
         svg += fmt::format("<path d=\"M{0} {1:.1f} H{2}\" stroke=\"#ddd\"/>\n", Margin, yOf(ratio), Width - Margin);
--- a/bench/recorder.cpp
+++ b/bench/recorder.cpp
@@ -58,9 +58,9 @@
 
 std::string_view toString(WasteCause cause)
 {
-    constexpr std::array<std::string_view, WasteCauses> names
+    constexpr std::array<std::string_view, WasteCauses> Names
         = {"refused", "endpoint-failed", "task-failed", "lost", "second-attempt", "cancelled", "failed-job", "probe"};
-    return names.at(static_cast<std::size_t>(cause));
+    return Names.at(static_cast<std::size_t>(cause));
 }
 
 std::uint64_t RunFigures::allWasted() const
