--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -85,7 +85,12 @@
     std::cout << text;
     if (!arguments.out.empty()) {
         const std::filesystem::path directory(arguments.out);
-        std::filesystem::create_directories(directory);
+        std::error_code error;
+        std::filesystem::create_directories(directory, error);
+        if (error) {
+            std::cerr << "can't write to " << arguments.out << ": " << error.message() << "\n";
+            return 1;
+        }
         writeFile(directory / "report.txt", text);
         writeFile(directory / "report.csv", makeCsvReport(results));
         writeFile(directory / "worst.txt", makeWorstReport(results));
