--- a/src/platform/tests/platform_test.cpp
+++ b/src/platform/tests/platform_test.cpp
@@ -188,28 +188,31 @@
 BOOST_AUTO_TEST_CASE(TimeoutEndsConnectionAndMayHaveTakenEffect)
 {
     std::atomic<int> requests = 0;
+    std::atomic<bool> timedOut = false;
     TestServer server([&](ServerConnection &connection, int) {
         if (readTableRequest(connection).empty()) {
             return;
         }
-        if (++requests == 1) {
-            std::this_thread::sleep_for(700ms); // the late answer
-            connection.answer("200 OK", "late");
-            connection.awaitClose();
-            return;
+        const bool first = ++requests == 1;
+        if (first) {
+            timedOut.wait(false);
         }
-        connection.answer("200 OK", "own");
+        connection.answer("200 OK", first ? "late" : "own");
         connection.awaitClose();
     });
     Rig rig(server.address(), NoListing, 1);
-    rig.ask(1, SamplePut, 500ms);
+    const auto begin = std::chrono::steady_clock::now();
+    rig.ask(1, SamplePut, 2s);
     rig.ask(2, SamplePut, 200ms); // waits for the only connection
     const auto waiting = rig.await<PlatformReplied>();
+    BOOST_TEST((std::chrono::steady_clock::now() - begin < 1500ms));
     BOOST_TEST(waiting.request.value == 2U);
     BOOST_TEST(describe(waiting.reply) == "no effect");
     const auto late = rig.await<PlatformReplied>();
     BOOST_TEST(late.request.value == 1U);
     BOOST_TEST(describe(late.reply) == "may have taken effect");
+    timedOut = true;
+    timedOut.notify_all();
     rig.ask(3, SampleGet);
     BOOST_TEST(describe(rig.await<PlatformReplied>().reply) == "object own");
     BOOST_TEST(rig.isQuiet());
