--- a/src/endpoint/tests/connection_test.cpp
+++ b/src/endpoint/tests/connection_test.cpp
@@ -115,7 +115,7 @@
     });
     EndpointRig rig(server.address());
     for (int attempt = 0; attempt < Attempts; ++attempt) {
-        BOOST_TEST(rig.run(static_cast<std::uint64_t>(attempt) + 1).outcome == AttemptOutcome::Succeeded);
+        BOOST_REQUIRE(rig.run(static_cast<std::uint64_t>(attempt) + 1).outcome == AttemptOutcome::Succeeded);
         closed.wait(attempt);
     }
     BOOST_TEST(requests == Attempts);
