Peer links: settle websocketpp's byte order before any thread starts

The thread sanitizer found an unguarded static in websocketpp's _htonll, first written by whichever transport sends first. With the change the tests of the links ran without a report.

--- a/src/peer/websocket_transport.cpp
+++ b/src/peer/websocket_transport.cpp
@@ -56,6 +56,13 @@
     return TcpEndpoint(ip, static_cast<std::uint16_t>(port));
 }
 
+/** Have websocketpp find out the byte order, which it keeps in an unguarded static, before there are several threads. */
+void settleByteOrder()
+{
+    static const std::uint64_t zero = websocketpp::lib::net::_htonll(0);
+    static_cast<void>(zero);
+}
+
 std::string toText(const TcpEndpoint &endpoint)
 {
     const std::string host = endpoint.address().to_string();
@@ -252,6 +259,7 @@
 std::unique_ptr<WebsocketTransport> WebsocketTransport::create(const WebsocketTransportOptions &options,
                                                                WebsocketTransportHandlers handlers, std::string &error)
 {
+    settleByteOrder();
     auto parts = std::make_unique<Impl>();
     parts->options = options;
     parts->handlers = std::move(handlers);
