--- a/src/peer/tests/link_rig.h
+++ b/src/peer/tests/link_rig.h
@@ -95,14 +95,15 @@
     {
         return this->await([&] { return this->all<T>().size() >= count; }, patience);
     }
-    /** Wait until nothing has come for a time. */
+    /** Wait until nothing has come for a time, or for as long as there is patience. */
     void settle(Duration quiet = 150ms)
     {
+        const auto deadline = SteadyClock::now() + Patience;
         std::size_t before = 0;
         do {
             before = this->seen.size();
             this->collect(quiet);
-        } while (this->seen.size() != before);
+        } while (this->seen.size() != before && SteadyClock::now() < deadline);
     }
     std::size_t upNow() const
     {
--- a/src/peer/tests/links_test.cpp
+++ b/src/peer/tests/links_test.cpp
@@ -114,6 +114,23 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(TwoAddressesOfOnePeerMakeOneLink)
+{
+    Node first("a");
+    auto options = makeOptions("b", 1);
+    options.listen = NetAddress("0.0.0.0:0");
+    options.identity.peerAddress = NetAddress("127.0.0.1:1");
+    Node second(options);
+    const std::string port = second.address().value.substr(second.address().value.rfind(':'));
+    first.links->carryOut(OpenPeer{NetAddress("127.0.0.1" + port), true});
+    first.links->carryOut(OpenPeer{NetAddress("127.0.0.2" + port), true});
+    BOOST_TEST_REQUIRE(first.awaitCount<PeerUp>(1));
+    first.settle(300ms);
+    second.settle(10ms);
+    BOOST_TEST(first.seen.size() == 1U);
+    BOOST_TEST(second.seen.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(ANewIncarnationTakesThePlaceOfTheOld)
 {
     Node node("a");
