--- /dev/null
+++ b/src/blackboard/task_queue.cpp
@@ -0,0 +1,118 @@
+#include "blackboard/task_queue_base.h"
+
+#include <algorithm>
+
+namespace Tanagertally {
+
+namespace {
+
+constexpr std::array<std::uint32_t, 7> SizeLimits = {2, 3, 5, 9, 17, 33, 65}; // tasks; from each of these a job is in the next class
+constexpr std::uint32_t LargestFirstEvery = 32; // tasks
+
+} // namespace
+
+std::size_t TaskQueue::sizeClassOf(std::uint32_t jobTasks)
+{
+    const auto *const end = std::upper_bound(SizeLimits.begin(), SizeLimits.end(), jobTasks);
+    return static_cast<std::size_t>(end - SizeLimits.begin());
+}
+
+TaskQueue::Lane &TaskQueue::laneFor(const QueueRank &rank, const TeamName &team, const KindName &kind)
+{
+    RankClass &rankClass = this->classes[static_cast<std::size_t>(rank.urgency)][sizeClassOf(rank.jobTasks)];
+    const auto found = rankClass.byTeam.find(team);
+    if (found == rankClass.byTeam.end()) {
+        rankClass.ring.push_back(TeamQueue{team, rank.teamWeight, rank.teamWeight, 0, {}});
+        rankClass.byTeam[team] = std::prev(rankClass.ring.end());
+    }
+    TeamQueue &queue = *rankClass.byTeam[team];
+    queue.weight = rank.teamWeight;
+    const auto lane = std::find_if(queue.lanes.begin(), queue.lanes.end(), [&](const Lane &one) { return one.kind == kind; });
+    if (lane != queue.lanes.end()) {
+        return *lane;
+    }
+    queue.lanes.push_back(Lane{kind, {}});
+    return queue.lanes.back();
+}
+
+void TaskQueue::pushBack(const QueueRank &rank, const TeamName &team, QueuedTask task)
+{
+    Lane &lane = this->laneFor(rank, team, task.kind);
+    lane.tasks.push_back(std::move(task));
+}
+
+void TaskQueue::pushFront(const QueueRank &rank, const TeamName &team, QueuedTask task)
+{
+    Lane &lane = this->laneFor(rank, team, task.kind);
+    lane.tasks.push_front(std::move(task));
+}
+
+std::optional<QueuedTask> TaskQueue::takeFromTeam(TeamQueue &team, const Judge &judge)
+{
+    std::size_t looked = 0;
+    while (looked < team.lanes.size()) {
+        const std::size_t index = team.nextLane % team.lanes.size();
+        Lane &lane = team.lanes[index];
+        if (lane.tasks.empty()) {
+            team.lanes.erase(team.lanes.begin() + static_cast<std::ptrdiff_t>(index));
+            continue;
+        }
+        const Choice choice = judge(lane.tasks.front(), team.team);
+        if (choice == Choice::Drop) {
+            lane.tasks.pop_front();
+            continue;
+        }
+        ++team.nextLane;
+        if (choice == Choice::SkipLane) {
+            ++looked;
+            continue;
+        }
+        QueuedTask task = std::move(lane.tasks.front());
+        lane.tasks.pop_front();
+        return task;
+    }
+    return std::nullopt;
+}
+
+std::optional<QueuedTask> TaskQueue::takeFromClass(RankClass &rankClass, const Judge &judge)
+{
+    std::size_t looked = 0;
+    while (looked < rankClass.ring.size()) {
+        TeamQueue &team = rankClass.ring.front();
+        std::optional<QueuedTask> task = takeFromTeam(team, judge);
+        if (team.lanes.empty()) {
+            rankClass.byTeam.erase(team.team);
+            rankClass.ring.pop_front();
+            continue;
+        }
+        if (task && team.deficit > 1) {
+            --team.deficit;
+            return task;
+        }
+        team.deficit = team.weight;
+        rankClass.ring.splice(rankClass.ring.end(), rankClass.ring, rankClass.ring.begin());
+        if (task) {
+            return task;
+        }
+        ++looked;
+    }
+    return std::nullopt;
+}
+
+std::optional<QueuedTask> TaskQueue::take(const Judge &judge)
+{
+    const bool largestFirst = this->takes % LargestFirstEvery == LargestFirstEvery - 1;
+    for (std::array<RankClass, SizeCount> &sizes : this->classes) {
+        for (std::size_t step = 0; step < SizeCount; ++step) {
+            RankClass &rankClass = sizes[largestFirst ? SizeCount - 1 - step : step];
+            std::optional<QueuedTask> task = takeFromClass(rankClass, judge);
+            if (task) {
+                ++this->takes;
+                return task;
+            }
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace Tanagertally
