--- a/src/caller/http_server.h
+++ b/src/caller/http_server.h
@@ -6,8 +6,14 @@
 #include "core/result_type.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 
+#include <linux/filter.h>
+#include <sys/socket.h>
+
+#include <array>
+
 namespace Tanagertally {
 
 /**
@@ -78,8 +84,7 @@
     {
         this->listener->core->stopping = true;
         boost::asio::post(this->listener->acceptor.get_executor(), [kept = this->listener] {
-            boost::system::error_code ignored;
-            kept->acceptor.close(ignored);
+            kept->drainAndClose();
         });
     }
 
@@ -111,6 +116,7 @@
 
     /** The accepting side. Its methods run on the strand of the acceptor. */
     struct Listener : std::enable_shared_from_this<Listener> {
+        static constexpr std::chrono::milliseconds HandshakeTime{50}; ///< Time for handshakes under way to end.
         static constexpr std::chrono::milliseconds RetryInterval{100}; ///< Pause after a failed accept.
 
         boost::asio::io_context &io; ///< Runs the connections.
@@ -136,6 +142,9 @@
 
         void onAccepted(const boost::system::error_code &error, Tcp::socket socket)
         {
+            if (!error) {
+                this->serve(std::move(socket));
+            }
             if (!this->acceptor.is_open()) {
                 return;
             }
@@ -144,10 +153,53 @@
                 this->retryTimer.async_wait([self = this->shared_from_this()](const boost::system::error_code &) { self->accept(); });
                 return;
             }
-            this->serve(std::move(socket));
             this->accept();
         }
 
+        /**
+         * Let in no new connection, serve those whose handshake is done or under way, and then close the listening socket.
+         * Closing it at once would reset connections that the system has accepted and this process has not.
+         */
+        void drainAndClose()
+        {
+            this->refuseHandshakes();
+            this->retryTimer.expires_after(HandshakeTime);
+            this->retryTimer.async_wait([self = this->shared_from_this()](const boost::system::error_code &) {
+                boost::system::error_code ignored;
+                self->serveAccepted();
+                self->acceptor.close(ignored);
+            });
+        }
+
+        /** Have the system drop each first packet of a handshake (SYN without ACK); the other side tries again and is refused then. */
+        void refuseHandshakes()
+        {
+            constexpr std::uint32_t FlagsOffset = 13; // In the TCP header.
+            constexpr std::uint32_t SynAndAck = 0x12;
+            constexpr std::uint32_t Syn = 0x02;
+            constexpr std::uint32_t WholePacket = 0xffffffff;
+            std::array<sock_filter, 5> program{{BPF_STMT(BPF_LD | BPF_B | BPF_ABS, FlagsOffset),
+                                                BPF_STMT(BPF_ALU | BPF_AND | BPF_K, SynAndAck),
+                                                BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, Syn, 1, 0),
+                                                BPF_STMT(BPF_RET | BPF_K, WholePacket),
+                                                BPF_STMT(BPF_RET | BPF_K, 0)}};
+            const sock_fprog filter{static_cast<unsigned short>(program.size()), program.data()};
+            setsockopt(this->acceptor.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof(filter));
+        }
+
+        /** Serve the connections that the system has accepted already. */
+        void serveAccepted()
+        {
+            boost::system::error_code error;
+            this->acceptor.non_blocking(true, error);
+            while (!error) {
+                Tcp::socket socket = this->acceptor.accept(boost::asio::make_strand(this->io), error);
+                if (!error) {
+                    this->serve(std::move(socket));
+                }
+            }
+        }
+
         void serve(Tcp::socket socket)
         {
             boost::system::error_code error;
