--- a/tests/golden/script.cpp
+++ b/tests/golden/script.cpp
@@ -42,7 +42,7 @@
 
 Result<Duration> toDuration(const Line &line, const std::string &text)
 {
-    const Result<Duration> duration = parseDuration(text);
+    const Result<Duration> duration = durationFromText(text);
     if (!duration) {
         return bad(line, duration.error().message);
     }
--- a/tests/golden/script_runner.cpp
+++ b/tests/golden/script_runner.cpp
@@ -226,7 +226,7 @@
 
 std::optional<Error> ScriptRunner::submit(const ScriptStep &step)
 {
-    const Result<Duration> timeout = parseDuration(valueOf(step, "timeout", formatDuration(DefaultTimeout)));
+    const Result<Duration> timeout = durationFromText(valueOf(step, "timeout", durationToText(DefaultTimeout)));
     if (!timeout) {
         return bad(step, timeout.error().message);
     }
