--- a/bench/session/session.cpp
+++ b/bench/session/session.cpp
@@ -208,6 +208,9 @@
         one.held.push_back(std::move(event));
         return;
     }
+    const bool isCall = std::holds_alternative<JobSubmitted>(event) || std::holds_alternative<JobFetched>(event)
+                        || std::holds_alternative<JobCancelled>(event) || std::holds_alternative<KeysRequested>(event);
+    one.lastCallAt = isCall ? this->clock : one.lastCallAt;
     ActionList actions;
     one.coordinator->handle(this->clock, std::move(event), actions);
     this->carryOut(instance, actions);
@@ -266,10 +269,21 @@
 void Session::on(std::uint32_t instance, Exit & /*action*/)
 {
     this->trace(fmt::format("e{} exits", instance));
-    this->schedule(Duration::zero(), [this, instance, life = this->instances[instance].life] {
-        if (this->instances[instance].life == life) {
-            this->endInstance(instance);
+    this->endWhenQuiet(instance, this->instances[instance].life);
+}
+
+void Session::endWhenQuiet(std::uint32_t instance, std::uint64_t life)
+{
+    this->schedule(this->options.delays.exitGrace, [this, instance, life] {
+        const Instance &one = this->instances[instance];
+        if (one.life != life) {
+            return;
         }
+        if (one.paused || this->clock - one.lastCallAt < this->options.delays.exitGrace) {
+            this->endWhenQuiet(instance, life);
+            return;
+        }
+        this->endInstance(instance);
     });
 }
 
--- a/src/blackboard/blackboard.h
+++ b/src/blackboard/blackboard.h
@@ -47,6 +47,7 @@
     PeerTable peers; ///< Links to other instances.
     std::unordered_map<KindName, KindLoad> kinds; ///< Load by kind.
     std::unordered_map<TeamName, TeamLoad> teams; ///< Load by team.
+    std::uint64_t openCalls = 0; ///< Calls of callers, operators and peers that have had no reply.
     std::vector<JobId> touchedJobs; ///< Jobs whose tasks changed and that may have to be answered.
     std::vector<WorkerName> saidLeaving; ///< Workers whose endpoints said that they are leaving, not yet passed on to peers.
     std::vector<ListedInstance> listedInstances; ///< Entry instances in the instance list.
--- a/src/controllers/claim_controller.h
+++ b/src/controllers/claim_controller.h
@@ -9,6 +9,7 @@
 
 /** This incarnation holds the claim and has started nothing under the key. */
 struct ClaimHeld {
+    bool takenOver = false; ///< Whether an earlier holder may have started tasks.
 };
 
 /** Another incarnation holds the claim. */
--- a/src/controllers/durable_controller.cpp
+++ b/src/controllers/durable_controller.cpp
@@ -52,6 +52,9 @@
             return;
         }
         durable->answer = std::move(answer);
+        if (!durable->accepted && job.deadline <= this->board.now) {
+            this->jobs.refuseWaiters(job, refusalOf(ErrorCode::Unavailable, "the platform did not confirm the job"));
+        }
         this->recordAnswer(job.id);
     });
 }
@@ -102,7 +105,8 @@
     const bool idempotent = isIdempotent(this->board, this->board.jobs.find(job)->spec);
     CommitOp op;
     op.conditions = {RowCondition{claimKey, RowVersion()}, RowCondition{rowKey, RowVersion()}};
-    op.writes = {RowWrite{claimKey, encodeRow(ClaimRow{durable.row.holder, true, idempotent})}, RowWrite{rowKey, encodeRow(durable.row)}};
+    op.writes
+        = {RowWrite{claimKey, encodeRow(ClaimRow{durable.row.holder, true, idempotent, false})}, RowWrite{rowKey, encodeRow(durable.row)}};
     op.done = [this, job](const CommitResult &result) { this->inserted(job, result); };
     this->commits.submit(std::move(op));
 }
@@ -205,8 +209,11 @@
         this->replies.send(target, JobAccepted{durable.row.key});
     }
     durable.acceptWaiters.clear();
-    JobRecord *record = this->board.jobs.find(job);
-    this->moveMark(*record, durable);
+    if (durable.answer != nullptr) {
+        this->recordAnswer(job);
+        return;
+    }
+    this->moveMark(*this->board.jobs.find(job), durable);
 }
 
 void DurableController::reply(JobRecord &job, SubmitMode mode, const ReplyTarget &target)
@@ -326,12 +333,7 @@
 void DurableController::recordAnswer(JobId job)
 {
     Durable *durable = this->find(job);
-    if (durable == nullptr || durable->answer == nullptr || durable->writing) {
-        return;
-    }
-    if (!durable->accepted) {
-        this->jobs.publish(*this->board.jobs.find(job), durable->answer);
-        this->durables.erase(job);
+    if (durable == nullptr || durable->answer == nullptr || durable->writing || !durable->accepted) {
         return;
     }
     durable->writing = true;
@@ -407,7 +409,8 @@
     const bool idempotent = isIdempotent(this->board, record.spec);
     CommitOp op;
     op.conditions = {RowCondition{claimKey, adopted.claimVersion}, RowCondition{rowKey, adopted.rowVersion}};
-    op.writes = {RowWrite{claimKey, encodeRow(ClaimRow{durable.row.holder, true, idempotent})}, RowWrite{rowKey, encodeRow(durable.row)}};
+    op.writes
+        = {RowWrite{claimKey, encodeRow(ClaimRow{durable.row.holder, true, idempotent, false})}, RowWrite{rowKey, encodeRow(durable.row)}};
     op.done = [this, id, rowKey](const CommitResult &result) {
         const auto *committed = std::get_if<Committed>(&result);
         JobRecord *job = this->board.jobs.find(id);
--- a/src/controllers/job_controller.cpp
+++ b/src/controllers/job_controller.cpp
@@ -127,9 +127,14 @@
     }
     failJob(this->board, *record, ErrorCode::HomeLost, "another instance took the job over");
     this->unansweredCount -= record->answer == nullptr ? 1 : 0;
-    std::vector<ReplyTarget> waiters;
-    waiters.swap(record->waiters);
+    this->refuseWaiters(*record, refusal);
     this->board.jobs.remove(job);
+}
+
+void JobController::refuseWaiters(JobRecord &job, const Refusal &refusal)
+{
+    std::vector<ReplyTarget> waiters;
+    waiters.swap(job.waiters);
     for (const ReplyTarget &target : waiters) {
         this->replies.refuse(target, refusal.error, refusal.verdict, refusal.retryAfter);
     }
--- a/src/controllers/member_controller.cpp
+++ b/src/controllers/member_controller.cpp
@@ -52,7 +52,8 @@
 void MemberController::handle(const InstanceList &list)
 {
     this->board.listedInstances = list.instances;
-    std::vector<FailureDomain> domains{this->board.identity.domain};
+    std::vector<FailureDomain> domains = this->board.domains;
+    domains.push_back(this->board.identity.domain);
     for (const ListedInstance &instance : list.instances) {
         domains.push_back(instance.domain);
     }
--- a/src/controllers/query_rows.cpp
+++ b/src/controllers/query_rows.cpp
@@ -241,7 +241,7 @@
                                  {Field::By, text(audit.value().by.value)},
                                  {Field::Age, Duration(std::chrono::milliseconds(nowMs - audit.value().atMs))},
                                  {Field::Text, text(audit.value().command)},
-                                 {Field::Outcome, text(audit.value().outcome)}});
+                                 {Field::Message, text(audit.value().outcome)}});
         }
     }
     return result;
--- a/src/controllers/recovery_controller.cpp
+++ b/src/controllers/recovery_controller.cpp
@@ -63,10 +63,17 @@
     before.swap(this->suspects);
     for (const TableRow &row : rows->rows) {
         const Result<DurableJobRow> job = decodeRow<DurableJobRow>(row.value);
-        if (!job || job.value().state == DurableState::Answered || this->isHomeAlive(job.value().holder.incarnation)) {
+        if (!job || job.value().state == DurableState::Answered) {
             continue;
         }
         const Incarnation holder = job.value().holder.incarnation;
+        if (holder == this->board.identity.incarnation) {
+            this->takeIfFree(job.value(), row.version);
+            continue;
+        }
+        if (this->isHomeAlive(holder)) {
+            continue;
+        }
         const auto known = before.find(holder);
         this->suspects.try_emplace(holder, known == before.end() ? Suspect{this->board.now, false, false, {}} : known->second);
         this->consider(row);
@@ -78,9 +85,6 @@
 
 bool RecoveryController::isHomeAlive(Incarnation incarnation) const
 {
-    if (incarnation == this->board.identity.incarnation) {
-        return true;
-    }
     const auto &peers = this->board.peers.all();
     return std::any_of(peers.begin(), peers.end(), [&](const auto &entry) { return entry.second.identity.incarnation == incarnation; });
 }
@@ -96,9 +100,16 @@
         }
         return;
     }
+    if (this->board.now >= suspect.leaseOverAt) {
+        this->takeIfFree(row, tableRow.version);
+    }
+}
+
+void RecoveryController::takeIfFree(const DurableJobRow &row, RowVersion version)
+{
     const bool held = this->board.jobs.find(TeamKey{row.team, row.key}) != nullptr;
-    if (this->board.now >= suspect.leaseOverAt && !held && this->adopting.insert(row.job).second) {
-        this->fetchAndAdopt(row, tableRow.version);
+    if (!held && this->adopting.insert(row.job).second) {
+        this->fetchAndAdopt(row, version);
     }
 }
 
--- a/src/controllers/reply_sender.cpp
+++ b/src/controllers/reply_sender.cpp
@@ -1,5 +1,7 @@
 #include "controllers/reply_sender.h"
 
+#include <cassert>
+
 namespace Tanagertally {
 
 ReplySender::ReplySender(Blackboard &board, Outbox &outbox)
@@ -10,6 +12,8 @@
 
 void ReplySender::send(const ReplyTarget &target, CallerReply reply)
 {
+    assert(this->board.openCalls > 0);
+    --this->board.openCalls;
     if (const auto *request = std::get_if<RequestId>(&target)) {
         const bool stopping = this->board.lifecycle.state() == InstanceState::Draining;
         this->outbox.emit(ReplyToCaller{*request, std::move(reply), stopping});
--- a/src/controllers/request_controller.cpp
+++ b/src/controllers/request_controller.cpp
@@ -134,13 +134,16 @@
         return;
     }
     this->keys.markUsed(key);
-    this->startHere(std::move(submission), StartAuthority::IssuedKey);
+    this->startHere(std::move(submission), StartAuthority::IssuedKey, Verdict::NotRun);
 }
 
-void RequestController::startHere(Submission submission, StartAuthority authority)
+void RequestController::startHere(Submission submission, StartAuthority authority, Verdict before)
 {
     JobRecord &job = this->jobs.add(NewJob{submission.key, submission.team, std::move(submission.job), authority});
     job.waiters.push_back(submission.target);
+    for (TaskRecord &task : job.tasks) {
+        task.answer.verdict = before;
+    }
     this->jobs.start(job);
 }
 
@@ -260,11 +263,12 @@
         this->resubmitted(*job, submission);
         return;
     }
+    const Verdict before = std::get<ClaimHeld>(outcome).takenOver ? Verdict::MayHaveRun : Verdict::NotRun;
     if (const std::optional<AdmissionRefusal> refusal = checkAdmission(this->board, submission.team, submission.job)) {
-        this->replies.refuse(submission.target, refusal->error, Verdict::NotRun, refusal->retryAfter);
+        this->replies.refuse(submission.target, refusal->error, before, refusal->retryAfter);
         return;
     }
-    this->startHere(std::move(submission), StartAuthority::Claim);
+    this->startHere(std::move(submission), StartAuthority::Claim, before);
 }
 
 bool RequestController::isKnownGone(const ClaimHolder &holder) const
--- a/src/controllers/row_codec.cpp
+++ b/src/controllers/row_codec.cpp
@@ -90,14 +90,16 @@
 
 std::string encodeRow(const ClaimRow &row)
 {
-    return Json{{"holder", toJson(row.holder)}, {"durable", row.durable}, {"idempotent", row.idempotent}}.dump();
+    return Json{{"holder", toJson(row.holder)}, {"durable", row.durable}, {"idempotent", row.idempotent}, {"takenOver", row.takenOver}}
+        .dump();
 }
 
 template<>
 Result<ClaimRow> decodeRow<ClaimRow>(std::string_view text)
 {
     return decode(text, [](const Json &json) {
-        return ClaimRow{holderFrom(json.at("holder")), json.at("durable").get<bool>(), json.at("idempotent").get<bool>()};
+        return ClaimRow{holderFrom(json.at("holder")), json.at("durable").get<bool>(), json.at("idempotent").get<bool>(),
+                        json.value("takenOver", false)};
     });
 }
 
--- a/src/language/language_table.cpp
+++ b/src/language/language_table.cpp
@@ -89,7 +89,7 @@
 
 constexpr FieldInfo AuditFields[] = {
     {Field::Index, "index", Number},     {Field::By, "by", Text},     {Field::Age, "age", TimeSpan},
-    {Field::Version, "version", Number}, {Field::Text, "text", Text}, {Field::Outcome, "outcome", Text},
+    {Field::Version, "version", Number}, {Field::Text, "text", Text}, {Field::Message, "message", Text},
 };
 
 constexpr FieldInfo RefusalFields[] = {
