--- a/src/controllers/coordinator.cpp
+++ b/src/controllers/coordinator.cpp
@@ -194,8 +194,8 @@
 
 void CoordinatorImpl::exitWhenDrained()
 {
-    const bool drained
-        = this->board.lifecycle.state() == InstanceState::Draining && this->jobs.unanswered() == 0 && this->dispatch.inFlight() == 0;
+    const bool idle = this->board.openCalls == 0 && this->jobs.unanswered() == 0 && this->dispatch.inFlight() == 0;
+    const bool drained = this->board.lifecycle.state() == InstanceState::Draining && idle;
     if (drained && this->board.lifecycle.apply(InstanceSignal::Drained)) {
         this->outbox.emit(Exit{});
     }
--- a/src/controllers/operator_controller.cpp
+++ b/src/controllers/operator_controller.cpp
@@ -85,11 +85,13 @@
 
 void OperatorController::replyError(RequestId request, Error error)
 {
+    --this->board.openCalls;
     this->outbox.emit(ReplyToOperator{request, std::move(error), {}});
 }
 
 void OperatorController::replyJson(RequestId request, std::string json)
 {
+    --this->board.openCalls;
     this->outbox.emit(ReplyToOperator{request, std::nullopt, std::move(json)});
 }
 
--- a/src/controllers/reply_sender.cpp
+++ b/src/controllers/reply_sender.cpp
@@ -15,7 +15,8 @@
     assert(this->board.openCalls > 0);
     --this->board.openCalls;
     if (const auto *request = std::get_if<RequestId>(&target)) {
-        const bool stopping = this->board.lifecycle.state() == InstanceState::Draining;
+        const InstanceState state = this->board.lifecycle.state();
+        const bool stopping = state == InstanceState::Draining || state == InstanceState::Stopped;
         this->outbox.emit(ReplyToCaller{*request, std::move(reply), stopping});
         return;
     }
--- a/src/controllers/request_controller.cpp
+++ b/src/controllers/request_controller.cpp
@@ -6,6 +6,7 @@
 
 namespace {
 
+constexpr Duration StoppedComeBack = std::chrono::milliseconds(100);
 constexpr Duration ComeBack = std::chrono::seconds(1);
 constexpr Duration ForwardGrace = std::chrono::seconds(1);
 constexpr Duration QuestionTimeout = std::chrono::seconds(5);
@@ -50,8 +51,25 @@
     return true;
 }
 
+bool RequestController::refuseIfStopped(const ReplyTarget &target, const TeamKey &name)
+{
+    if (this->board.lifecycle.state() != InstanceState::Stopped) {
+        return false;
+    }
+    const JobRecord *job = this->board.jobs.find(name);
+    if (job != nullptr && job->answer != nullptr) {
+        return false;
+    }
+    const Verdict verdict = name.key.empty() ? Verdict::NotRun : Verdict::MayHaveRun;
+    this->replies.refuse(target, makeError(ErrorCode::Stopping, "this instance is about to exit; ask again"), verdict, StoppedComeBack);
+    return true;
+}
+
 void RequestController::submit(Submission submission)
 {
+    if (this->refuseIfStopped(submission.target, TeamKey{submission.team, submission.key})) {
+        return;
+    }
     if (submission.key.empty()) {
         if (this->refuseIfNotServing(submission)) {
             return;
@@ -315,6 +333,9 @@
 
 void RequestController::ask(const JobQuestion &question)
 {
+    if (this->refuseIfStopped(question.target, TeamKey{question.team, question.key})) {
+        return;
+    }
     JobRecord *job = this->board.jobs.find(TeamKey{question.team, question.key});
     if (job != nullptr) {
         this->askHere(question, *job);
--- a/src/controllers/request_controller.h
+++ b/src/controllers/request_controller.h
@@ -80,6 +80,13 @@
     bool isKnownGone(const ClaimHolder &holder) const;
     bool refuseIfNotServing(const Submission &submission);
 
+    /**
+     * Refuse a request at an instance that has drained and is about to exit, unless the answer is at hand: nothing is
+     * forwarded or waited for any more.
+     * @return Whether the request was refused.
+     */
+    bool refuseIfStopped(const ReplyTarget &target, const TeamKey &name);
+
     Blackboard &board; ///< The state.
     ReplySender &replies; ///< Sends replies.
     KeyController &keys; ///< Issued keys.
