--- a/bench/session/session_callers.cpp
+++ b/bench/session/session_callers.cpp
@@ -6,6 +6,11 @@
 
 namespace {
 
+bool hasOutput(const TaskAnswer &task)
+{
+    return task.output != nullptr;
+}
+
 /** Writes a reply as a line of the transcript. */
 struct ReplyText {
     std::string operator()(const KeysIssued &reply) const
@@ -23,11 +28,13 @@
     std::string operator()(const JobAnswer &reply) const
     {
         if (reply.outcome == JobOutcome::Complete) {
-            return fmt::format("complete {} tasks", reply.tasks.size());
+            const auto outputs = std::count_if(reply.tasks.begin(), reply.tasks.end(), hasOutput);
+            const bool whole = static_cast<std::size_t>(outputs) == reply.tasks.size();
+            return fmt::format("complete {} tasks{}", reply.tasks.size(), whole ? "" : fmt::format(" with {} outputs", outputs));
         }
         std::string text = fmt::format("failed {} \"{}\" verdicts", toString(reply.reason), reply.message);
         for (const TaskAnswer &task : reply.tasks) {
-            text += fmt::format(" {}", toString(task.verdict));
+            text += fmt::format(" {}{}", toString(task.verdict), hasOutput(task) ? "+output" : "");
         }
         return text;
     }
