--- a/bench/report.cpp
+++ b/bench/report.cpp
@@ -10,7 +10,7 @@
 
 /** One column of the tables. */
 struct Column {
-    std::string_view name; ///< Head.
+    std::string name; ///< Head.
     int width; ///< Characters in the text table.
     std::function<std::string(const RunResult &)> text; ///< Cell.
 };
@@ -79,7 +79,7 @@
         {"peer-msg/task", 9, [](const RunResult &run) { return perTask(run.figures.peerMessages, run.figures); }},
     };
     for (std::size_t cause = 0; cause < WasteCauses; ++cause) {
-        columns.push_back({toString(static_cast<WasteCause>(cause)), 9,
+        columns.push_back({fmt::format("wasted-{}", toString(static_cast<WasteCause>(cause))), 9,
                            [cause](const RunResult &run) { return std::to_string(run.figures.wasted.at(cause)); }});
     }
     return columns;
