--- a/bench/cost.cpp
+++ b/bench/cost.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr std::uint32_t KeysPerCall = 1000;
+constexpr std::uint32_t MeasuredSubmissions = 1000;
 constexpr int Repeats = 5; // the least is taken
 constexpr Duration IdleTime = 60s;
 const TeamName Team("team0");
@@ -134,6 +135,28 @@
     }
 }
 
+/** @return Processor time of a submission while jobs of one task wait. */
+double submissionNanos(std::uint32_t waitingJobs)
+{
+    double least = 1e18;
+    for (int repeat = 0; repeat < Repeats; ++repeat) {
+        CostInstance instance(CostSizes{});
+        for (std::uint32_t job = 0; job < waitingJobs; ++job) {
+            instance.submit(Team, JobKey(), 1);
+        }
+        const Duration begin = processorTime();
+        for (std::uint32_t job = 0; job < MeasuredSubmissions; ++job) {
+            instance.submit(Team, JobKey(), 1);
+        }
+        least = std::min(least, static_cast<double>((processorTime() - begin).count()) / MeasuredSubmissions);
+        instance.finishAttempts();
+        if (instance.completeJobs() != waitingJobs + MeasuredSubmissions) {
+            return 0;
+        }
+    }
+    return least;
+}
+
 double wholeHeap(const CostSizes &sizes)
 {
     const double before = heapBytes();
@@ -174,6 +197,11 @@
     constexpr std::array<std::uint32_t, 4> PeerCounts = {2, 8, 32, 128};
     std::string text = "Processor time of the decision part, least of 5 repeats\n";
     text += taskCost(20000, 1, 16) + taskCost(20000, 1, 256) + taskCost(200, 100, 16) + taskCost(20, 1000, 16);
+    std::vector<Point> waiting;
+    for (const std::uint32_t jobs : {1000U, 4000U, 16000U}) {
+        waiting.push_back({double(jobs), submissionNanos(jobs)});
+    }
+    text += row("submission, by jobs waiting", waiting, "ns per job waiting");
     text += "\nHeap in use, by size\n";
     text += heapRow("tasks held, in jobs of 100", "bytes per task", holdTasks);
     text += heapRow("jobs answered and remembered", "bytes per job",
