--- a/bench/session/session.h
+++ b/bench/session/session.h
@@ -193,6 +193,7 @@
         std::set<std::uint32_t> standing; ///< Instances to which a link is kept.
         std::unordered_map<EndpointId, std::uint32_t> endpoints; ///< Worker of each endpoint.
         std::unordered_map<AttemptId, std::size_t> attempts; ///< Attempts in flight.
+        TimePoint lastCallAt{}; ///< When a caller's request last arrived.
         TimePoint wakeAt = TimePoint::max(); ///< When advance() is scheduled.
     };
 
@@ -261,6 +262,7 @@
 
     void startInstance(std::uint32_t index);
     void endInstance(std::uint32_t index);
+    void endWhenQuiet(std::uint32_t instance, std::uint64_t life);
     void readList(std::uint32_t instance, std::uint64_t life);
     InstanceList currentList() const;
     void recordList();
--- a/bench/session/session_type.h
+++ b/bench/session/session_type.h
@@ -21,6 +21,7 @@
     Duration listInterval = std::chrono::milliseconds(500); ///< Between two readings of the instance list.
     Duration listLag = std::chrono::seconds(2); ///< How far the instance list lags behind.
     Duration peerSilence = std::chrono::seconds(1); ///< Time after which a silent link counts as gone.
+    Duration exitGrace = std::chrono::milliseconds(200); ///< Time without a call after which an instance that has drained ends.
     Duration peerRetry = std::chrono::milliseconds(250); ///< Between two tries to open a standing link.
 };
 
--- a/src/caller/http_server.h
+++ b/src/caller/http_server.h
@@ -83,9 +83,7 @@
     void stopAccepting()
     {
         this->listener->core->stopping = true;
-        boost::asio::post(this->listener->acceptor.get_executor(), [kept = this->listener] {
-            kept->drainAndClose();
-        });
+        boost::asio::post(this->listener->acceptor.get_executor(), [kept = this->listener] { kept->drainAndClose(); });
     }
 
     /**
@@ -178,11 +176,9 @@
             constexpr std::uint32_t SynAndAck = 0x12;
             constexpr std::uint32_t Syn = 0x02;
             constexpr std::uint32_t WholePacket = 0xffffffff;
-            std::array<sock_filter, 5> program{{BPF_STMT(BPF_LD | BPF_B | BPF_ABS, FlagsOffset),
-                                                BPF_STMT(BPF_ALU | BPF_AND | BPF_K, SynAndAck),
-                                                BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, Syn, 1, 0),
-                                                BPF_STMT(BPF_RET | BPF_K, WholePacket),
-                                                BPF_STMT(BPF_RET | BPF_K, 0)}};
+            std::array<sock_filter, 5> program{
+                {BPF_STMT(BPF_LD | BPF_B | BPF_ABS, FlagsOffset), BPF_STMT(BPF_ALU | BPF_AND | BPF_K, SynAndAck),
+                 BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, Syn, 1, 0), BPF_STMT(BPF_RET | BPF_K, WholePacket), BPF_STMT(BPF_RET | BPF_K, 0)}};
             const sock_fprog filter{static_cast<unsigned short>(program.size()), program.data()};
             setsockopt(this->acceptor.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof(filter));
         }
--- a/src/controllers/claim_controller.cpp
+++ b/src/controllers/claim_controller.cpp
@@ -38,7 +38,7 @@
             return ClaimUnknown{"the claim row is malformed: " + claim.error().message};
         }
         if (claim.value().holder.incarnation == this->board.identity.incarnation) {
-            return ClaimHeld();
+            return ClaimHeld{claim.value().takenOver};
         }
         return ClaimElsewhere{claim.value(), row.version};
     }
@@ -50,11 +50,11 @@
     const RowKey key = claimRowKey(name);
     CommitOp op;
     op.conditions.push_back(RowCondition{key, replaces});
-    op.writes.push_back(RowWrite{key, encodeRow(ClaimRow{this->self(), false, idempotent})});
-    op.done = [this, name, key, handler = std::move(handler)](const CommitResult &result) {
+    op.writes.push_back(RowWrite{key, encodeRow(ClaimRow{this->self(), false, idempotent, replaces != RowVersion()})});
+    op.done = [this, name, key, replaces, handler = std::move(handler)](const CommitResult &result) {
         if (std::holds_alternative<Committed>(result)) {
             ++this->board.stats.claims;
-            handler(ClaimHeld());
+            handler(ClaimHeld{replaces != RowVersion()});
             return;
         }
         if (const auto *failed = std::get_if<ConditionFailed>(&result)) {
--- a/src/controllers/config_controller.cpp
+++ b/src/controllers/config_controller.cpp
@@ -168,6 +168,11 @@
 ConfigVersion ConfigController::ownDomainVersion() const
 {
     ConfigVersion lowest = this->board.config.version;
+    for (const auto &[id, peer] : this->board.peers.all()) {
+        if (peer.identity.domain == this->board.identity.domain && !peer.stopping) {
+            lowest = std::min(lowest, peer.configInForce);
+        }
+    }
     for (const ListedInstance &listed : this->board.listedInstances) {
         const bool expected
             = listed.domain == this->board.identity.domain && listed.name != this->board.identity.name && listed.state == ListedState::Live;
--- a/src/controllers/coordinator.cpp
+++ b/src/controllers/coordinator.cpp
@@ -203,23 +203,27 @@
 
 void CoordinatorImpl::on(KeysRequested &event)
 {
+    ++this->board.openCalls;
     this->requests.handle(event);
 }
 
 void CoordinatorImpl::on(JobSubmitted &event)
 {
+    ++this->board.openCalls;
     this->requests.submit(
         Submission{event.request, RequestOrigin::Caller, std::move(event.team), std::move(event.key), std::move(event.job)});
 }
 
 void CoordinatorImpl::on(JobFetched &event)
 {
+    ++this->board.openCalls;
     const JobQuestion::Kind kind = event.wait ? JobQuestion::Kind::Answer : JobQuestion::Kind::State;
     this->requests.ask(JobQuestion{event.request, RequestOrigin::Caller, std::move(event.team), std::move(event.key), kind, false});
 }
 
 void CoordinatorImpl::on(JobCancelled &event)
 {
+    ++this->board.openCalls;
     this->requests.ask(
         JobQuestion{event.request, RequestOrigin::Caller, std::move(event.team), std::move(event.key), JobQuestion::Kind::Cancel, false});
 }
@@ -231,6 +235,7 @@
 
 void CoordinatorImpl::on(OperatorAsked &event)
 {
+    ++this->board.openCalls;
     this->operators.handle(event);
 }
 
@@ -297,12 +302,14 @@
 
 void CoordinatorImpl::onMessage(PeerRecord &peer, ForwardedSubmit &message)
 {
+    ++this->board.openCalls;
     const PeerReplyTarget target{peer.id, message.id};
     this->requests.submit(Submission{target, RequestOrigin::Peer, std::move(message.team), std::move(message.key), std::move(message.job)});
 }
 
 void CoordinatorImpl::onMessage(PeerRecord &peer, ForwardedFetch &message)
 {
+    ++this->board.openCalls;
     const JobQuestion::Kind kind = message.wait ? JobQuestion::Kind::Answer : JobQuestion::Kind::State;
     const PeerReplyTarget target{peer.id, message.id};
     this->requests.ask(JobQuestion{target, RequestOrigin::Peer, std::move(message.team), std::move(message.key), kind, false});
@@ -310,6 +317,7 @@
 
 void CoordinatorImpl::onMessage(PeerRecord &peer, ForwardedCancel &message)
 {
+    ++this->board.openCalls;
     const PeerReplyTarget target{peer.id, message.id};
     this->requests.ask(
         JobQuestion{target, RequestOrigin::Peer, std::move(message.team), std::move(message.key), JobQuestion::Kind::Cancel, false});
--- a/src/controllers/job_controller.h
+++ b/src/controllers/job_controller.h
@@ -58,6 +58,9 @@
      */
     void discard(JobId job, const Refusal &refusal);
 
+    /** Refuse all calls that await a job's answer; the job goes on. */
+    void refuseWaiters(JobRecord &job, const Refusal &refusal);
+
     /** Answer the jobs that were touched by the present event. */
     void settle();
 
--- a/src/controllers/recovery_controller.h
+++ b/src/controllers/recovery_controller.h
@@ -40,6 +40,8 @@
     void scan();
     void scanned(const PlatformReply &reply);
     void consider(const TableRow &tableRow);
+    /** Adopt a job that no record is held of: of a fenced home, or of this one after the answer to a write was lost. */
+    void takeIfFree(const DurableJobRow &row, RowVersion version);
     bool isHomeAlive(Incarnation incarnation) const;
     void fence(Incarnation incarnation);
     void fetchAndAdopt(const DurableJobRow &row, RowVersion version);
--- a/src/controllers/request_controller.h
+++ b/src/controllers/request_controller.h
@@ -69,7 +69,7 @@
     void ownKeyElsewhere(Submission submission, const ClaimElsewhere &claim);
     void startDurable(const Submission &submission);
     void resubmitted(JobRecord &job, const Submission &submission);
-    void startHere(Submission submission, StartAuthority authority);
+    void startHere(Submission submission, StartAuthority authority, Verdict before);
     void forward(Submission submission, const HomeAddress &home);
     void askHere(const JobQuestion &question, JobRecord &job);
     void askUnknownIssued(const JobQuestion &question, const IssuedKey &key);
--- a/src/controllers/row_type.h
+++ b/src/controllers/row_type.h
@@ -20,6 +20,7 @@
     ClaimHolder holder; ///< Home of the key.
     bool durable = false; ///< Whether the job is durable; its state is then in a DurableJobRow.
     bool idempotent = false; ///< Whether all its tasks may run more than once.
+    bool takenOver = false; ///< Whether an earlier holder may have started tasks.
 };
 
 /** Where a durable job stands. */
