--- a/src/blackboard/endpoint_base.h
+++ b/src/blackboard/endpoint_base.h
@@ -35,6 +35,7 @@
     std::uint32_t lent = 0; ///< Slots of the share that are lent to peers.
     std::uint32_t borrowed = 0; ///< Slots borrowed from peers.
     std::uint32_t failuresInRow = 0; ///< Failed tasks since the last success.
+    TimePoint failedAt{}; ///< When a task last failed on it.
     std::uint32_t connectFailuresInRow = 0; ///< Failed connects since the last answer.
     std::uint32_t ejections = 0; ///< Ejections since it was last healthy for long.
     TimePoint ejectedUntil{}; ///< End of the present ejection.
--- a/src/controllers/dispatch_controller.cpp
+++ b/src/controllers/dispatch_controller.cpp
@@ -305,7 +305,7 @@
         runTime.add(ended.roundTrip);
     }
     this->settle(attempt, ended);
-    this->endpoints.observe(attempt.endpoint, evidenceOf(ended.outcome, attempt.abandoned));
+    this->endpoints.observe(attempt.endpoint, evidenceOf(ended.outcome, attempt.abandoned), attempt.startedAt);
 }
 
 void DispatchController::settle(const Attempt &attempt, AttemptEnded &ended)
--- a/src/controllers/drain_controller.cpp
+++ b/src/controllers/drain_controller.cpp
@@ -126,7 +126,7 @@
         return;
     }
     this->announced.insert(notice.worker);
-    this->endpoints.observe(endpoint->id, EndpointEvidence::SaidLeaving);
+    this->endpoints.observe(endpoint->id, EndpointEvidence::SaidLeaving, this->board.now);
 }
 
 void DrainController::settle()
--- a/src/controllers/endpoint_controller.cpp
+++ b/src/controllers/endpoint_controller.cpp
@@ -113,7 +113,7 @@
     this->board.endpoints.setAvailable(endpoint, (inTrial || proven) && endpoint.freeSlots() > 0 && !paused);
 }
 
-void EndpointController::observe(EndpointId id, EndpointEvidence evidence)
+void EndpointController::observe(EndpointId id, EndpointEvidence evidence, TimePoint startedAt)
 {
     EndpointRecord *endpoint = this->board.endpoints.find(id);
     if (endpoint == nullptr) {
@@ -122,8 +122,11 @@
     switch (evidence) {
     case EndpointEvidence::Succeeded:
         endpoint->answeredAt = this->board.now;
-        endpoint->failuresInRow = 0;
         endpoint->connectFailuresInRow = 0;
+        if (startedAt < endpoint->failedAt) {
+            break;
+        }
+        endpoint->failuresInRow = 0;
         if (endpoint->lifecycle.apply(EndpointSignal::TrialSucceeded)) {
             endpoint->ejections = 0;
         }
@@ -158,6 +161,7 @@
 void EndpointController::countFailure(EndpointRecord &endpoint)
 {
     ++endpoint.failuresInRow;
+    endpoint.failedAt = this->board.now;
     if (endpoint.lifecycle.state() == EndpointState::Trial) {
         this->eject(endpoint);
         return;
--- a/src/controllers/endpoint_controller.h
+++ b/src/controllers/endpoint_controller.h
@@ -43,8 +43,9 @@
      * Take in what an ended attempt says about its endpoint. Its slot must have been freed before.
      * @param id The endpoint.
      * @param evidence What it says.
+     * @param startedAt When the attempt was started; a success from before the last failure proves nothing.
      */
-    void observe(EndpointId id, EndpointEvidence evidence);
+    void observe(EndpointId id, EndpointEvidence evidence, TimePoint startedAt);
 
     /** Set whether an operator drained a worker's endpoint. */
     void setDrained(const WorkerName &worker, bool drained);
