--- a/src/controllers/coordinator.cpp
+++ b/src/controllers/coordinator.cpp
@@ -31,6 +31,7 @@
     CoordinatorStats stats() const override;
 
 private:
+    void fenced();
     void begin(TimePoint now, ActionList &actions);
     void finish();
     void reportReadiness();
@@ -112,10 +113,15 @@
     this->board.identity = std::move(options.identity);
     this->endpoints.onProbeEnded([this](EndpointId id) { this->dispatch.endpointProbed(id); });
     this->lease.onRegained([this] { this->dispatch.leaseRegained(); });
-    this->commits.onFenced([this] {
-        this->outbox.log("fenced");
-        this->board.lifecycle.apply(InstanceSignal::StopAsked);
-    });
+    this->lease.onFenced([this] { this->fenced(); });
+    this->commits.onFenced([this] { this->fenced(); });
+}
+
+void CoordinatorImpl::fenced()
+{
+    this->outbox.log("fenced");
+    this->durables.abandonAll();
+    this->board.lifecycle.apply(InstanceSignal::StopAsked);
 }
 
 void CoordinatorImpl::begin(TimePoint now, ActionList &actions)
--- a/src/controllers/dispatch_controller.cpp
+++ b/src/controllers/dispatch_controller.cpp
@@ -266,13 +266,22 @@
 void DispatchController::endpointProbed(EndpointId endpoint)
 {
     for (auto &[id, attempt] : this->attempts) {
-        if (attempt.endpoint == endpoint && attempt.overdue && attempt.idempotent && !attempt.abandoned) {
-            this->outbox.log("connection-suspect", {{"attempt", std::to_string(id.value)}, {"kind", attempt.kind.value}});
-            this->abandon(attempt);
+        if (attempt.endpoint != endpoint || !attempt.overdue || attempt.abandoned || !this->isRepeatable(attempt)) {
+            continue;
         }
+        this->outbox.log("connection-suspect", {{"attempt", std::to_string(id.value)}, {"kind", attempt.kind.value}});
+        kindLoad(this->board, attempt.kind).runTime.add(this->board.now - attempt.startedAt);
+        this->abandon(attempt);
     }
 }
 
+bool DispatchController::isRepeatable(const Attempt &attempt)
+{
+    const JobRecord *job = this->board.jobs.find(attempt.job);
+    const bool settled = job == nullptr || job->answering;
+    return attempt.idempotent && (settled || job->tasks[attempt.task].attempts + 1 < MaxAttempts);
+}
+
 void DispatchController::release(const Attempt &attempt)
 {
     --kindLoad(this->board, attempt.kind).running;
--- a/src/controllers/dispatch_controller.h
+++ b/src/controllers/dispatch_controller.h
@@ -94,6 +94,11 @@
     void scheduleChecks(const Attempt &attempt, const KindConfig *kind);
     void runCheck(const Check &check);
     void hedge(const Attempt &attempt);
+    /**
+     * Tell whether an attempt that is merely overdue may be given up: its task is idempotent and has another attempt left. The
+     * last one is waited for, since the run time may have been estimated far too short.
+     */
+    bool isRepeatable(const Attempt &attempt);
     void abandon(Attempt &attempt);
     void release(const Attempt &attempt);
     void settle(const Attempt &attempt, AttemptEnded &ended);
--- a/src/controllers/durable_controller.cpp
+++ b/src/controllers/durable_controller.cpp
@@ -59,6 +59,23 @@
     });
 }
 
+void DurableController::onMayBeDurable(std::function<void(const TeamKey &)> handler)
+{
+    this->mayBeDurable = std::move(handler);
+}
+
+void DurableController::abandonAll()
+{
+    std::vector<JobId> held;
+    for (const auto &[id, durable] : this->durables) {
+        held.push_back(id);
+    }
+    std::sort(held.begin(), held.end());
+    for (const JobId id : held) {
+        this->lost(id);
+    }
+}
+
 DurableController::Durable *DurableController::find(JobId job)
 {
     const auto found = this->durables.find(job);
@@ -131,6 +148,7 @@
         this->notAccepted(job, unavailable.message);
         return;
     }
+    this->mayBeDurable(TeamKey{durable->row.team, durable->row.key});
     this->refuseAccept(*durable, refusalOf(ErrorCode::Unavailable, "the platform did not confirm the write"));
     this->retries.add(this->board.now, Retry{job, Step::Insert});
 }
@@ -203,6 +221,7 @@
     Durable &durable = this->durables.at(job);
     durable.accepted = true;
     durable.rowVersion = rowVersion;
+    this->mayBeDurable(TeamKey{durable.row.team, durable.row.key});
     this->lease.keep();
     this->outbox.log("job-accepted", {{"key", durable.row.key.value}, {"team", durable.row.team.value}});
     for (const ReplyTarget &target : durable.acceptWaiters) {
--- a/src/controllers/durable_controller.h
+++ b/src/controllers/durable_controller.h
@@ -38,6 +38,12 @@
     /** Reply to a resubmission of a durable job in the way that its caller wants. */
     void reply(JobRecord &job, SubmitMode mode, const ReplyTarget &target);
 
+    /** Set what is called when the rows of a job under a key may be in the table: the key is used from then on. */
+    void onMayBeDurable(std::function<void(const TeamKey &)> handler);
+
+    /** This incarnation is fenced: forget all durable jobs and tell those who wait to ask again. */
+    void abandonAll();
+
     /** Take a job over from its fenced home. @pre No job of its key is held. */
     void adopt(const AdoptedJob &adopted);
 
@@ -104,6 +110,7 @@
     ReplySender &replies; ///< Sends replies.
     StartLease &lease; ///< Lease under which tasks of durable jobs start.
     std::unordered_map<JobId, Durable> durables; ///< Durable jobs of this home without a recorded answer.
+    std::function<void(const TeamKey &)> mayBeDurable; ///< Called when the rows of a job may be in the table.
     DeadlineQueue<Retry> retries; ///< Steps to try again.
 };
 
--- a/src/controllers/request_controller.cpp
+++ b/src/controllers/request_controller.cpp
@@ -12,6 +12,12 @@
 constexpr Duration QuestionTimeout = std::chrono::seconds(5);
 constexpr Duration AnswerTimeout = std::chrono::seconds(60);
 
+/** @return What a submission asks about a job that is held elsewhere. */
+JobQuestion::Kind questionOf(const Submission &submission)
+{
+    return submission.job.mode == SubmitMode::Later ? JobQuestion::Kind::State : JobQuestion::Kind::Answer;
+}
+
 } // namespace
 
 RequestController::RequestController(Blackboard &board, ReplySender &replies, KeyController &keys, ForwardController &forwards,
@@ -25,6 +31,19 @@
     , jobs(jobs)
     , platform(platform)
 {
+    this->durables.onMayBeDurable([this](const TeamKey &name) { this->markIssuedUsed(name); });
+}
+
+void RequestController::markIssuedUsed(const TeamKey &name)
+{
+    if (!hasIssuedForm(name.key)) {
+        return;
+    }
+    const Result<IssuedKey> key = parseIssuedKey(name.key);
+    const bool own = key && key.value().incarnation == this->board.identity.incarnation;
+    if (own && this->keys.state(key.value(), name.team) == KeyState::Unused) {
+        this->keys.markUsed(key.value());
+    }
 }
 
 void RequestController::handle(const KeysRequested &request)
@@ -93,7 +112,7 @@
     if (key.incarnation != this->board.identity.incarnation) {
         const bool goneForGood = submission.origin == RequestOrigin::Peer || key.address == this->board.identity.peerAddress;
         if (goneForGood) {
-            const JobQuestion::Kind kind = submission.job.mode == SubmitMode::Later ? JobQuestion::Kind::State : JobQuestion::Kind::Answer;
+            const JobQuestion::Kind kind = questionOf(submission);
             const Error error = makeError(ErrorCode::HomeLost, "the instance that held this key is gone", "key");
             this->askWithoutHome(JobQuestion{submission.target, submission.origin, submission.team, submission.key, kind, false},
                                  Refusal{error, Verdict::MayHaveRun, std::nullopt});
@@ -116,9 +135,10 @@
         this->submitUnusedIssued(std::move(submission), key);
         return;
     case KeyState::Used:
-        this->replies.refuse(submission.target,
-                             makeError(ErrorCode::NotFound, "the job was answered and its answer is no longer kept", "key"),
-                             Verdict::MayHaveRun);
+        this->askWithoutHome(
+            JobQuestion{submission.target, RequestOrigin::Peer, submission.team, submission.key, questionOf(submission), true},
+            Refusal{makeError(ErrorCode::NotFound, "the job was answered and its answer is no longer kept", "key"), Verdict::MayHaveRun,
+                    std::nullopt});
         return;
     case KeyState::Closed:
         this->replies.refuse(submission.target,
@@ -194,7 +214,7 @@
 void RequestController::forward(Submission submission, const HomeAddress &home)
 {
     const Duration within = submission.job.timeout + ForwardGrace;
-    const JobQuestion::Kind kind = submission.job.mode == SubmitMode::Later ? JobQuestion::Kind::State : JobQuestion::Kind::Answer;
+    const JobQuestion::Kind kind = questionOf(submission);
     const JobQuestion question{submission.target, submission.origin, submission.team, submission.key, kind, false};
     ForwardedSubmit message{ForwardId(), std::move(submission.team), std::move(submission.key), std::move(submission.job)};
     this->forwards.forward(home, submission.target, std::move(message), within,
--- a/src/controllers/request_controller.h
+++ b/src/controllers/request_controller.h
@@ -78,6 +78,7 @@
     void forward(const JobQuestion &question, const HomeAddress &home);
     void askWithoutHome(const JobQuestion &question, const Refusal &refusal);
     bool isKnownGone(const ClaimHolder &holder) const;
+    void markIssuedUsed(const TeamKey &name);
     bool refuseIfNotServing(const Submission &submission);
 
     /**
--- a/src/controllers/start_lease.cpp
+++ b/src/controllers/start_lease.cpp
@@ -22,6 +22,11 @@
     this->regained = std::move(handler);
 }
 
+void StartLease::onFenced(std::function<void()> handler)
+{
+    this->fencedHandler = std::move(handler);
+}
+
 void StartLease::keep()
 {
     if (this->kept) {
@@ -66,7 +71,11 @@
         return;
     }
     if (!rows->rows.empty()) {
+        const bool known = this->fenced;
         this->fenced = true;
+        if (!known) {
+            this->fencedHandler();
+        }
         return;
     }
     const bool lapsed = !this->isHeld();
--- a/src/controllers/start_lease.h
+++ b/src/controllers/start_lease.h
@@ -32,6 +32,9 @@
     /** @return When advance() has to be called next. */
     TimePoint nextDeadline() const;
 
+    /** Set what is called once if a renewal shows that this incarnation is fenced. */
+    void onFenced(std::function<void()> handler);
+
     /** Set what is called each time the lease was renewed after it had lapsed. */
     void onRegained(std::function<void()> handler);
 
@@ -46,6 +49,7 @@
     bool fenced = false; ///< Whether this incarnation is fenced.
     TimePoint validUntil{}; ///< End of the lease.
     TimePoint nextRenewal{}; ///< When to read again.
+    std::function<void()> fencedHandler; ///< Called when fenced.
     std::function<void()> regained; ///< Called when renewed after a lapse.
 };
 
