Operators' queries cover the fleet; a job's state counts tasks that started

A state said that tasks had started which were cancelled. Change: both messages go to the OperatorController; started counts tasks that may have run.

--- a/src/controllers/coordinator.cpp
+++ b/src/controllers/coordinator.cpp
@@ -359,9 +359,15 @@
     this->slots.handle(peer, message);
 }
 
-void CoordinatorImpl::onMessage(PeerRecord & /*peer*/, ForwardedQuery & /*message*/) { }
+void CoordinatorImpl::onMessage(PeerRecord &peer, ForwardedQuery &message)
+{
+    this->operators.handle(peer, message);
+}
 
-void CoordinatorImpl::onMessage(PeerRecord & /*peer*/, QueryRows & /*message*/) { }
+void CoordinatorImpl::onMessage(PeerRecord &peer, QueryRows &message)
+{
+    this->operators.handle(peer, message);
+}
 
 } // namespace
 
--- a/src/controllers/job_controller.cpp
+++ b/src/controllers/job_controller.cpp
@@ -104,7 +104,8 @@
     status.key = job.key;
     status.tasks = static_cast<std::uint32_t>(job.tasks.size());
     status.finished = job.ended;
-    status.started = job.running + job.ended;
+    const auto hasStarted = [](const TaskRecord &task) { return task.inFlight > 0 || task.answer.verdict != Verdict::NotRun; };
+    status.started = static_cast<std::uint32_t>(std::count_if(job.tasks.begin(), job.tasks.end(), hasStarted));
     status.state = status.started == 0 ? JobState::Pending : JobState::Running;
     if (job.answer != nullptr) {
         status.state = JobState::Answered;
--- a/src/controllers/tests/decision_test.cpp
+++ b/src/controllers/tests/decision_test.cpp
@@ -176,3 +176,18 @@
     BOOST_TEST((onlyReply<JobAnswer>(session, call).outcome == JobOutcome::Complete));
     BOOST_TEST(!session.isRunning(0));
 }
+
+BOOST_AUTO_TEST_CASE(AQueryCoversAllInstancesAndNamesTheDomainThatIsCutOff)
+{
+    Session session(makeOptions());
+    session.runUntil(4s);
+    session.operate(0, OperatorName("amal"), "show count of instances");
+    session.runUntil(5s);
+    session.cutDomains(0, 1, true);
+    session.runUntil(8s);
+    session.operate(0, OperatorName("amal"), "show count of instances");
+    session.runUntil(9s);
+    BOOST_REQUIRE_EQUAL(session.operatorReplies().size(), 2U);
+    BOOST_TEST(session.operatorReplies()[0].json == R"({"count":4,"missingDomains":[]})");
+    BOOST_TEST(session.operatorReplies()[1].json.starts_with(R"({"count":2,"missingDomains":[{"domain":"d1")"));
+}
--- a/tests/process/home_death_test.cpp
+++ b/tests/process/home_death_test.cpp
@@ -132,12 +132,28 @@
     BOOST_TEST(fleet.starts()["tasksStartedAgain"] == 0);
 }
 
-BOOST_AUTO_TEST_CASE(AFencedInstanceEndsItself)
+namespace {
+
+/** @return Whether an instance ends after it was paused for longer than its lease, holding a job of so many tasks. */
+bool endsAfterPause(std::uint32_t tasks)
 {
     constexpr auto TimeToEnd = std::chrono::seconds(15);
     ProcessFleet fleet(SmallFleet);
-    pauseHome(fleet, makeJob({"paused-confirms", "confirm", "later", TasksPerJob, LongRunMs}));
-    BOOST_TEST(fleet.daemons()[0].process->waitForExit(TimeToEnd).has_value(), "the fenced instance goes on");
+    pauseHome(fleet, makeJob({"paused-confirms", "confirm", "later", tasks, LongRunMs}));
+    return fleet.daemons()[0].process->waitForExit(TimeToEnd).has_value();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(AFencedInstanceEndsItself)
+{
+    BOOST_TEST(endsAfterPause(TasksPerJob), "the fenced instance goes on");
+}
+
+/** The durable mark covers such a job at once, so that no write tells the instance that it is fenced. */
+BOOST_AUTO_TEST_CASE(AFencedInstanceEndsItselfWithAShortJob)
+{
+    BOOST_TEST(endsAfterPause(64), "the fenced instance goes on");
 }
 
 BOOST_AUTO_TEST_CASE(IdempotentTasksFarLongerThanExpectedAreAnswered)
