--- a/src/controllers/admission.cpp
+++ b/src/controllers/admission.cpp
@@ -16,6 +16,7 @@
 constexpr double InfeasibleQuantile = 0.05;
 constexpr std::uint64_t SamplesToJudge = 50; // measured run times before a kind is called infeasible
 constexpr std::int64_t WaitShareOfTimeout = 4; // a job may wait for this part of its timeout
+constexpr std::int64_t LargeWaitShareOfTimeout = 2; // one of the largest jobs may wait for this part
 constexpr double RetrySpread = 0.5; // random addition to the time to come back, as a share of it
 
 /** Slots that this instance can count on, its own and those that peers reported free. */
@@ -104,9 +105,12 @@
     return std::nullopt;
 }
 
-TimePoint wantedAt(const Blackboard &board, const JobSpec &job)
+TimePoint wantedAt(Blackboard &board, const JobSpec &job)
 {
-    return board.now + job.timeout / WaitShareOfTimeout;
+    const bool isLarge = sizeClassOf(job.tasks.size()).value + 1U == SizeClassCount;
+    const Duration share = job.timeout / (isLarge ? LargeWaitShareOfTimeout : WaitShareOfTimeout);
+    const Duration own = workOf(board, job) / static_cast<std::int64_t>(std::max(1U, slotsInReach(board)));
+    return board.now + std::min(job.timeout, std::max(share, own));
 }
 
 std::optional<AdmissionRefusal> checkAdmission(Blackboard &board, const TeamName &team, const JobSpec &job)
--- a/src/controllers/admission_func.h
+++ b/src/controllers/admission_func.h
@@ -20,11 +20,11 @@
 
 /**
  * Tell when the tasks of a job are wanted to be served: before its deadline by a part of its timeout, which is left for the
- * tasks' own run time and for what was estimated wrongly.
+ * tasks' own run time and for what was estimated wrongly; but not before they could be if nothing else waited.
  * @param board The state.
  * @param job A job that is submitted now.
  */
-TimePoint wantedAt(const Blackboard &board, const JobSpec &job);
+TimePoint wantedAt(Blackboard &board, const JobSpec &job);
 
 /** Why a job is not admitted now. */
 struct AdmissionRefusal {
