A configuration is not accepted past an instance that was lost a moment ago

Change: for 5 s after the link to an instance of the own domain broke without a planned stop, the domain doesn't count as having the configuration in force. Ruled out: registering each instance in the table before it serves, which a domain that is cut off could not do. Test: schedules/accepted-without-a-lost-member.txt, the shrunk schedule.

--- a/src/controllers/config_controller.cpp
+++ b/src/controllers/config_controller.cpp
@@ -6,6 +6,7 @@
 
 namespace {
 
+constexpr Duration LostMemberMemory = std::chrono::seconds(5); // longer than the instance list lags
 constexpr Duration ReadInterval = std::chrono::seconds(1);
 constexpr Duration FirstReadInterval = std::chrono::milliseconds(200);
 constexpr Duration ReadTimeout = std::chrono::seconds(1);
@@ -168,6 +169,11 @@
 ConfigVersion ConfigController::ownDomainVersion() const
 {
     ConfigVersion lowest = this->board.config.version;
+    for (const auto &[name, lostAt] : this->board.lostMembers) {
+        if (this->board.now - lostAt < LostMemberMemory) {
+            return ConfigVersion();
+        }
+    }
     for (const auto &[id, peer] : this->board.peers.all()) {
         if (peer.identity.domain == this->board.identity.domain && !peer.stopping) {
             lowest = std::min(lowest, peer.configInForce);
--- a/src/controllers/member_controller.cpp
+++ b/src/controllers/member_controller.cpp
@@ -80,6 +80,7 @@
     PeerRecord &peer = this->board.peers.add(up.peer, up.hello.identity);
     peer.connectedAt = this->board.now;
     this->board.domainLostAt.erase(peer.identity.domain);
+    this->board.lostMembers.erase(peer.identity.name);
     this->outbox.log("peer-up", {{"instance", peer.identity.name.value}, {"domain", peer.identity.domain.value}});
     this->outbox.emit(SendToPeer{peer.id, this->makeHeartbeat()});
     this->config.peerUp(peer);
@@ -99,6 +100,9 @@
     this->slots.peerDown(*peer);
     const bool ownDomain = this->isOwnDomain(*peer);
     const FailureDomain domain = peer->identity.domain;
+    if (ownDomain && !peer->stopping) {
+        this->board.lostMembers[peer->identity.name] = this->board.now;
+    }
     this->board.peers.remove(id);
     const auto &left = this->board.peers.all();
     const bool connected = std::any_of(left.begin(), left.end(), [&](const auto &entry) { return entry.second.identity.domain == domain; });
