--- a/src/blackboard/blackboard.h
+++ b/src/blackboard/blackboard.h
@@ -51,7 +51,8 @@
     std::vector<JobId> touchedJobs; ///< Jobs whose tasks changed and that may have to be answered.
     std::vector<WorkerName> saidLeaving; ///< Workers whose endpoints said that they are leaving, not yet passed on to peers.
     std::vector<ListedInstance> listedInstances; ///< Entry instances in the instance list.
-    std::unordered_map<InstanceName, TimePoint> lostMembers; ///< When links to instances of the own domain broke that did not say they were stopping.
+    std::unordered_map<InstanceName, TimePoint>
+        lostMembers; ///< When links to instances of the own domain broke that did not say they were stopping.
     std::unordered_map<FailureDomain, TimePoint> domainLostAt; ///< Since when no instance of a failure domain is connected.
     std::vector<FailureDomain> domains; ///< All failure domains, sorted.
     CoordinatorStats stats; ///< Figures for metrics.
