--- a/src/controllers/request_controller.cpp
+++ b/src/controllers/request_controller.cpp
@@ -46,10 +46,16 @@
     }
 }
 
+Duration RequestController::comeBack() const
+{
+    return this->board.lifecycle.state() == InstanceState::Learning ? ComeBack : StoppedComeBack;
+}
+
 void RequestController::handle(const KeysRequested &request)
 {
     if (this->board.lifecycle.state() != InstanceState::Serving) {
-        this->replies.refuse(request.request, makeError(ErrorCode::Stopping, "this instance takes no new work"), Verdict::NotRun, ComeBack);
+        this->replies.refuse(request.request, makeError(ErrorCode::Stopping, "this instance takes no new work"), Verdict::NotRun,
+                             this->comeBack());
         return;
     }
     if (request.count < 1 || request.count > MaxKeysPerCall) {
@@ -66,7 +72,7 @@
         return false;
     }
     const Verdict verdict = submission.key.empty() ? Verdict::NotRun : Verdict::MayHaveRun;
-    this->replies.refuse(submission.target, makeError(ErrorCode::Stopping, "this instance takes no new work"), verdict, ComeBack);
+    this->replies.refuse(submission.target, makeError(ErrorCode::Stopping, "this instance takes no new work"), verdict, this->comeBack());
     return true;
 }
 
@@ -156,7 +162,7 @@
 {
     if (this->board.lifecycle.state() != InstanceState::Serving) {
         this->replies.refuse(submission.target, makeError(ErrorCode::Stopping, "this instance takes no new work"), Verdict::NotRun,
-                             ComeBack);
+                             this->comeBack());
         return;
     }
     if (const std::optional<Error> error = checkJob(this->board, submission.job)) {
--- a/src/controllers/request_controller.h
+++ b/src/controllers/request_controller.h
@@ -79,6 +79,8 @@
     void askWithoutHome(const JobQuestion &question, const Refusal &refusal);
     bool isKnownGone(const ClaimHolder &holder) const;
     void markIssuedUsed(const TeamKey &name);
+    /** @return When to come back to the balancer: soon, as another instance serves, unless this one has yet to learn its configuration. */
+    Duration comeBack() const;
     bool refuseIfNotServing(const Submission &submission);
 
     /**
