Fix: every incarnation signed its issued keys with the same secret

Cause: CoordinatorOptions::seed was never used; the random engine of every instance started from its default, so that the secret behind issued keys was the same everywhere and could be worked out, and random choices were the same at all instances. Change: the blackboard's engine is seeded before anything is drawn from it. Test: IncarnationsSignTheirKeysWithDifferentSecrets (failed before).

--- a/src/controllers/coordinator.cpp
+++ b/src/controllers/coordinator.cpp
@@ -19,6 +19,15 @@
     return {random(), random(), random(), random()};
 }
 
+/** @return The state that an instance starts from. */
+Blackboard makeBoard(const CoordinatorOptions &options)
+{
+    Blackboard board;
+    board.identity = options.identity;
+    board.random.seed(options.seed);
+    return board;
+}
+
 /** All controllers of one entry instance and the order in which they see each event. */
 class CoordinatorImpl final : public Coordinator
 {
@@ -91,7 +100,8 @@
 };
 
 CoordinatorImpl::CoordinatorImpl(CoordinatorOptions options)
-    : platform(outbox)
+    : board(makeBoard(options))
+    , platform(outbox)
     , commits(board, platform)
     , lease(board, platform)
     , replies(board, outbox)
@@ -110,7 +120,6 @@
     , drains(board, outbox, platform, endpoints)
     , operators(board, outbox, platform, config, drains, jobs)
 {
-    this->board.identity = std::move(options.identity);
     this->endpoints.onProbeEnded([this](EndpointId id) { this->dispatch.endpointProbed(id); });
     this->lease.onRegained([this] { this->dispatch.leaseRegained(); });
     this->lease.onFenced([this] { this->fenced(); });
--- a/src/controllers/tests/decision_test.cpp
+++ b/src/controllers/tests/decision_test.cpp
@@ -191,3 +191,12 @@
     BOOST_TEST(session.operatorReplies()[0].json == R"({"count":4,"missingDomains":[]})");
     BOOST_TEST(session.operatorReplies()[1].json.starts_with(R"({"count":2,"missingDomains":[{"domain":"d1")"));
 }
+
+BOOST_AUTO_TEST_CASE(IncarnationsSignTheirKeysWithDifferentSecrets)
+{
+    Session session(makeOptions());
+    session.runUntil(1s);
+    const JobKey first = issueKey(session, 0);
+    const JobKey second = issueKey(session, 1);
+    BOOST_TEST(first.value.substr(first.value.rfind('~')) != second.value.substr(second.value.rfind('~')));
+}
