--- a/src/caller/caller_handler.h
+++ b/src/caller/caller_handler.h
@@ -1,6 +1,7 @@
 /** Routes callers' requests: what each path and method means. */
 #pragma once
 
+#include "controllers/event_queue.h"
 #include "caller/bearer_auth.h"
 #include "caller/http_handler.h"
 #include "caller/readiness.h"
@@ -18,6 +19,9 @@
 class CallerHandler
 {
 public:
+    using Events = EventQueue; ///< Takes the events.
+    using Outcome = HttpOutcome; ///< What handle() returns.
+
     Readiness readiness; ///< What /readyz answers.
 
     /** Make a handler that knows callers by `knownTeams`. */
--- a/src/caller/http_core.h
+++ b/src/caller/http_core.h
@@ -4,7 +4,6 @@
 #include "caller/http_calls.h"
 #include "caller/http_gate.h"
 #include "caller/http_handler.h"
-#include "controllers/event_queue.h"
 
 #include <atomic>
 #include <memory>
@@ -18,7 +17,7 @@
 template<HttpHandler Handler>
 struct HttpCore {
     std::shared_ptr<Handler> handler; ///< Makes replies and events of requests.
-    EventQueue &events; ///< Where events go.
+    typename Handler::Events &events; ///< Where events go.
     HttpLimits limits; ///< Limits of the listener.
     std::shared_ptr<HttpGate> gate; ///< Admission of connections and requests.
     HttpCalls<HttpSession<Handler>> calls; ///< Open connections and calls that await a reply.
@@ -27,7 +26,7 @@
     std::atomic<bool> stopping = false; ///< Whether connections end with their next reply.
 
     /** Make the shared part of a listener. */
-    HttpCore(std::shared_ptr<Handler> sharedHandler, EventQueue &eventQueue, const HttpLimits &listenerLimits)
+    HttpCore(std::shared_ptr<Handler> sharedHandler, typename Handler::Events &eventQueue, const HttpLimits &listenerLimits)
         : handler(std::move(sharedHandler))
         , events(eventQueue)
         , limits(listenerLimits)
--- a/src/caller/http_server.h
+++ b/src/caller/http_server.h
@@ -33,8 +33,8 @@
      * @param limits Limits of the listener.
      * @return The server, or BadInput for a malformed address, or Unavailable if it can't be bound.
      */
-    static Result<std::unique_ptr<HttpServer>> create(boost::asio::io_context &io, EventQueue &events, std::shared_ptr<Handler> handler,
-                                                      const NetAddress &listen, const HttpLimits &limits)
+    static Result<std::unique_ptr<HttpServer>> create(boost::asio::io_context &io, typename Handler::Events &events,
+                                                      std::shared_ptr<Handler> handler, const NetAddress &listen, const HttpLimits &limits)
     {
         Result<Tcp::endpoint> endpoint = parseNetAddress(listen, "listen");
         if (endpoint.has_error()) {
--- a/src/caller/http_session.h
+++ b/src/caller/http_session.h
@@ -199,16 +199,17 @@
             return;
         }
         const RequestId id = this->core->events.nextRequestId();
-        HttpOutcome outcome = this->core->handler->handle(request, id);
+        typename Handler::Outcome outcome = this->core->handler->handle(request, id);
         if (HttpReply *reply = std::get_if<HttpReply>(&outcome)) {
             this->send(std::move(*reply), this->core->writing.begin());
             return;
         }
-        this->awaitReply(id, std::move(std::get<Event>(outcome)));
+        this->awaitReply(id, std::move(std::get<1>(outcome)));
     }
 
     /** The call is listed before its event is pushed: the reply can come at any moment after that. */
-    void awaitReply(RequestId id, Event event)
+    template<typename EventType>
+    void awaitReply(RequestId id, EventType event)
     {
         if (!this->core->calls.await(id, this->shared_from_this())) {
             this->shut();
--- a/src/caller/http_type.h
+++ b/src/caller/http_type.h
@@ -45,7 +45,10 @@
 };
 
 /** What a handler makes of a request: a reply at once, or an event whose reply comes later under the same RequestId. */
-using HttpOutcome = std::variant<HttpReply, Event>;
+template<typename EventType>
+using HttpOutcomeOf = std::variant<HttpReply, EventType>;
+
+using HttpOutcome = HttpOutcomeOf<Event>; ///< Outcome of the handlers whose events go to the control thread.
 
 /** Why the server refuses a request or connection by itself. */
 enum class HttpRefusal : std::uint8_t {
--- /dev/null
+++ b/src/cells/cell_dispatch.cpp
@@ -0,0 +1,479 @@
+// The part of the leader that starts runs on endpoints and follows them.
+#include "cells/cell_leader.h"
+#include "cells/placement.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace Tanagertally::Cells {
+
+namespace {
+
+constexpr Duration StartValidity = std::chrono::milliseconds(800); // A start that arrives later is refused by the endpoint.
+constexpr Duration HoldWait = std::chrono::milliseconds(350); // About a third of the longest lease, so that two holds may be lost.
+constexpr Duration IdleProbe = std::chrono::seconds(4); // Keeps the estimate of an idle endpoint's clock within 2% of this.
+constexpr Duration UnsettledPause = std::chrono::milliseconds(25); // Ends that wait for the store make an endpoint answer at once.
+constexpr Duration SilencePause = std::chrono::milliseconds(100); // Between calls to an endpoint that doesn't answer.
+constexpr Duration AvoidAfterSilence = std::chrono::milliseconds(500); // An endpoint that didn't answer gets no runs for so long.
+constexpr Duration AvoidAfterNoRoom = std::chrono::milliseconds(50); // Something is there that this leader doesn't know of.
+constexpr Duration AvoidAfterRefusal = std::chrono::milliseconds(500); // An endpoint that says it is unhealthy.
+constexpr Duration StopRetry = std::chrono::milliseconds(150); // Between orders to stop a run.
+constexpr Duration FormerLeaderLimit = std::chrono::seconds(6); // As in cell_leader.cpp: no orders without the store's word for so long.
+constexpr std::uint64_t RunsPerToken = 1024; // Run numbers that one leader can give to one task.
+constexpr int MaxMisses = 6; // Jobs that found no room before the search ends.
+
+std::int64_t toMs(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+std::string toText(const TaskRef &task)
+{
+    return std::to_string(task.step) + "." + std::to_string(task.index);
+}
+
+} // namespace
+
+bool CellLeader::mayGiveOrders(TimePoint now) const
+{
+    return this->phase == Phase::Leading && !this->batch.releases && now < this->chain.confirmedAt() + FormerLeaderLimit;
+}
+
+void CellLeader::queueJob(const CellJob &job)
+{
+    const auto ideal = std::chrono::duration<double, std::nano>(job.estimatedChain()) * job.terms.stretch;
+    const TimePoint objective = job.acceptedAt + std::chrono::duration_cast<Duration>(ideal) + job.terms.targetDuration;
+    this->ready.emplace(objective, job.id);
+}
+
+void CellLeader::pump(TimePoint now)
+{
+    if (!this->mayGiveOrders(now) || this->wantsRelease) {
+        return;
+    }
+    int misses = 0;
+    for (auto entry = this->ready.begin(); entry != this->ready.end() && misses < MaxMisses;) {
+        const std::shared_ptr<CellJob> job = this->findJob(entry->second);
+        if (job && !this->startWaiting(now, *job)) {
+            ++misses;
+        }
+        entry = (!job || job->waiting().empty()) ? this->ready.erase(entry) : std::next(entry);
+    }
+}
+
+bool CellLeader::startWaiting(TimePoint now, CellJob &job)
+{
+    while (!job.waiting().empty()) {
+        const TaskRef task = job.waiting().front();
+        const StepSpec &step = job.step(task);
+        std::vector<PlacementCandidate> candidates;
+        for (const auto &[name, endpoint] : this->endpoints) {
+            const EndpointRecord &record = endpoint->record;
+            const bool takesWork = endpoint->isRegistered && !record.isDraining && endpoint->isListed && endpoint->isRostered
+                && now >= endpoint->avoidUntil && endpoint->failuresInRow == 0;
+            if (!takesWork || record.service != job.terms.service || !endpoint->isClockKnown()) {
+                continue;
+            }
+            const auto sameStep = std::ranges::count_if(endpoint->runs, [&task](const auto &run) {
+                return run.first.job == task.job && run.first.step == task.step;
+            });
+            candidates.push_back({endpoint.get(), static_cast<std::uint32_t>(sameStep), 1});
+        }
+        const std::optional<std::size_t> choice = chooseEndpoint(candidates, step, job.task(task).lastEndpoint);
+        if (!choice) {
+            return false;
+        }
+        CellEndpoint *endpoint = this->findEndpoint(candidates[*choice].endpoint->record.name);
+        job.waiting().pop_front();
+        this->startRun(now, job, task, *endpoint);
+    }
+    return true;
+}
+
+void CellLeader::startRun(TimePoint now, CellJob &job, const TaskRef &task, CellEndpoint &endpoint)
+{
+    TaskRecord &record = job.task(task);
+    assert(record.phase == TaskPhase::Waiting);
+    record.phase = TaskPhase::Placed;
+    ++record.starts;
+    ++job.placedTasks;
+    assert(record.starts < RunsPerToken);
+    RunRecord run;
+    run.run = RunNumber((this->chain.token().value - 1) * RunsPerToken + record.starts);
+    run.demand = job.step(task).demand;
+    run.orderedAt = now;
+    run.startDeadlineMs = endpoint.probableClockMs(now) + toMs(StartValidity);
+    endpoint.noteGrant(run.startDeadlineMs);
+    this->actions.emplace_back(StartRun{endpoint.record.name, endpoint.record.address, task, run.run, job.spec.payload, run.startDeadlineMs,
+                                        this->chain.token()});
+    this->log("task-start", {{"job", task.job.value},
+                             {"task", toText(task)},
+                             {"run", std::to_string(run.run.value)},
+                             {"endpoint", endpoint.record.name.value}});
+    endpoint.addRun(task, std::move(run));
+}
+
+void CellLeader::onStarted(TimePoint now, const EndpointName &name, const TaskRef &task, RunNumber number, const StartResult &result)
+{
+    CellEndpoint *endpoint = this->findEndpoint(name);
+    if (!endpoint || this->phase != Phase::Leading) {
+        return;
+    }
+    const bool isAnswered = result.kind != StartResult::Kind::NotSent && result.kind != StartResult::Kind::Unknown;
+    if (isAnswered) {
+        endpoint->failuresInRow = 0;
+        endpoint->lastContactAt = now;
+    }
+    const auto found = endpoint->runs.find(task);
+    if (found == endpoint->runs.end() || found->second.run != number) {
+        return; // Its end was listed before this answer came.
+    }
+    RunRecord &run = found->second;
+    if (result.kind != StartResult::Kind::Started) {
+        this->log("task-not-started", {{"job", task.job.value},
+                                       {"task", toText(task)},
+                                       {"run", std::to_string(number.value)},
+                                       {"endpoint", name.value},
+                                       {"reason", result.detail}});
+    }
+    switch (result.kind) {
+    case StartResult::Kind::Started:
+        if (run.phase == RunPhase::Starting) {
+            run.phase = RunPhase::Running;
+            run.confirmedAt = now;
+        }
+        if (const std::shared_ptr<CellJob> job = this->findJob(task.job); job && job->state == JobState::Queued) {
+            job->state = JobState::Running;
+        }
+        break;
+    case StartResult::Kind::NoRoom:
+        endpoint->avoidUntil = now + AvoidAfterNoRoom;
+        this->loseRun(now, *endpoint, task, "no-room");
+        break;
+    case StartResult::Kind::TooLate:
+        endpoint->nextHoldAt = now;
+        endpoint->avoidUntil = now + AvoidAfterNoRoom;
+        this->loseRun(now, *endpoint, task, "too-late");
+        break;
+    case StartResult::Kind::Superseded:
+        this->loseRun(now, *endpoint, task, "superseded");
+        break;
+    case StartResult::Kind::Fenced:
+        this->endLead("an endpoint has seen a higher fencing token", false);
+        return;
+    case StartResult::Kind::Unhealthy:
+    case StartResult::Kind::Rejected:
+        endpoint->avoidUntil = now + AvoidAfterRefusal;
+        this->loseRun(now, *endpoint, task, "refused");
+        break;
+    case StartResult::Kind::OtherLife:
+        this->loseEndpoint(now, *endpoint, "another life answered");
+        break;
+    case StartResult::Kind::NotSent:
+        this->noteSilence(now, *endpoint);
+        this->loseRun(now, *endpoint, task, "not-sent");
+        break;
+    case StartResult::Kind::Unknown:
+        this->noteSilence(now, *endpoint);
+        run.phase = RunPhase::Doubtful;
+        this->orderStop(now, *endpoint, task, run);
+        break;
+    }
+    this->pump(now);
+    this->holdEndpoints(now);
+}
+
+void CellLeader::onStopped(TimePoint now, const EndpointName &name, const TaskRef &task, RunNumber number, StopResult result)
+{
+    CellEndpoint *endpoint = this->findEndpoint(name);
+    if (!endpoint || this->phase != Phase::Leading) {
+        return;
+    }
+    const auto found = endpoint->runs.find(task);
+    if (found == endpoint->runs.end() || found->second.run != number) {
+        return;
+    }
+    RunRecord &run = found->second;
+    run.isStopInFlight = false;
+    switch (result) {
+    case StopResult::Confirmed:
+        run.isStopConfirmed = true;
+        run.confirmedAt = now;
+        endpoint->failuresInRow = 0;
+        endpoint->nextHoldAt = now;
+        break;
+    case StopResult::Fenced:
+        this->endLead("an endpoint has seen a higher fencing token", false);
+        return;
+    case StopResult::OtherLife:
+        this->loseEndpoint(now, *endpoint, "another life answered");
+        break;
+    case StopResult::Unknown:
+        run.nextStopAt = now + StopRetry;
+        break;
+    }
+    this->holdEndpoints(now);
+}
+
+void CellLeader::onHeld(TimePoint now, const EndpointName &name, HoldResult result)
+{
+    CellEndpoint *endpoint = this->findEndpoint(name);
+    if (!endpoint) {
+        return;
+    }
+    endpoint->isHoldInFlight = false;
+    if (this->phase != Phase::Leading) {
+        return;
+    }
+    switch (result.kind) {
+    case HoldResult::Kind::Fenced:
+        this->endLead("an endpoint has seen a higher fencing token", false);
+        return;
+    case HoldResult::Kind::OtherLife:
+        this->loseEndpoint(now, *endpoint, "another life answered");
+        endpoint->isListed = true;
+        endpoint->isRegistered = false;
+        this->unheard.erase(name);
+        break;
+    case HoldResult::Kind::Unhealthy:
+        endpoint->nextHoldAt = now + SilencePause;
+        endpoint->avoidUntil = now + AvoidAfterRefusal;
+        break;
+    case HoldResult::Kind::Unknown:
+        this->noteSilence(now, *endpoint);
+        endpoint->nextHoldAt = now + SilencePause;
+        break;
+    case HoldResult::Kind::Answered:
+        endpoint->failuresInRow = 0;
+        endpoint->lastContactAt = now;
+        endpoint->noteClock(now, result.clockMs);
+        endpoint->noteAcknowledged(endpoint->sentAcknowledgement);
+        this->reconcileRuns(now, *endpoint, result);
+        endpoint->isListed = true;
+        this->unheard.erase(name);
+        endpoint->nextHoldAt = endpoint->hasUnsettledEnds() ? now + UnsettledPause : now;
+        break;
+    }
+    this->settleRecovery(now);
+    this->pump(now);
+    this->holdEndpoints(now);
+    this->flush(now);
+}
+
+void CellLeader::reconcileRuns(TimePoint now, CellEndpoint &endpoint, const HoldResult &result)
+{
+    for (const ListedEnd &end : result.finished) {
+        this->applyEnd(now, endpoint, end);
+    }
+    std::unordered_map<TaskRef, RunNumber> listed;
+    for (const ListedRun &run : result.running) {
+        listed.emplace(run.task, run.run);
+        this->adoptRun(now, endpoint, run);
+    }
+    std::vector<std::pair<TaskRef, std::string_view>> lost;
+    for (const auto &[task, run] : endpoint.runs) {
+        const auto found = listed.find(task);
+        if (found != listed.end() && found->second == run.run) {
+            continue;
+        }
+        const bool isStartOver = run.phase == RunPhase::Doubtful && result.clockMs > run.startDeadlineMs;
+        const bool isSettled = run.phase != RunPhase::Starting && (run.phase == RunPhase::Running || run.isStopConfirmed);
+        if (isStartOver || (isSettled && endpoint.holdSentAt > run.confirmedAt)) {
+            lost.emplace_back(task, run.phase == RunPhase::Doubtful ? "never-started" : "vanished");
+        }
+    }
+    for (const auto &[task, reason] : lost) {
+        this->loseRun(now, endpoint, task, reason);
+    }
+}
+
+void CellLeader::adoptRun(TimePoint now, CellEndpoint &endpoint, const ListedRun &listed)
+{
+    const auto found = endpoint.runs.find(listed.task);
+    if (found != endpoint.runs.end()) {
+        if (found->second.run == listed.run && found->second.phase == RunPhase::Starting) {
+            found->second.phase = RunPhase::Running;
+            found->second.confirmedAt = now;
+        }
+        return;
+    }
+    const std::shared_ptr<CellJob> job = this->findJob(listed.task.job);
+    RunRecord run;
+    run.run = listed.run;
+    run.orderedAt = now;
+    run.confirmedAt = now;
+    const bool isKnownTask = job && job->hasTask(listed.task);
+    // An unknown run may take anything: the endpoint counts as full until it is gone.
+    run.demand = isKnownTask ? job->step(listed.task).demand : endpoint.room();
+    const bool isWanted = isKnownTask && !isFinal(job->state) && job->task(listed.task).phase == TaskPhase::Unaccounted;
+    if (isWanted) {
+        run.phase = RunPhase::Running;
+        job->task(listed.task).phase = TaskPhase::Placed;
+        ++job->placedTasks;
+        job->state = JobState::Running;
+    } else {
+        run.phase = RunPhase::Stopping;
+    }
+    this->log(isWanted ? "run-adopted" : "run-unwanted", {{"job", listed.task.job.value},
+                                                          {"task", toText(listed.task)},
+                                                          {"run", std::to_string(listed.run.value)},
+                                                          {"endpoint", endpoint.record.name.value}});
+    endpoint.addRun(listed.task, std::move(run));
+    if (!isWanted) {
+        this->orderStop(now, endpoint, listed.task, endpoint.runs.at(listed.task));
+    }
+}
+
+void CellLeader::applyEnd(TimePoint now, CellEndpoint &endpoint, const ListedEnd &end)
+{
+    const std::shared_ptr<CellJob> job = this->findJob(end.task.job);
+    const bool isKnownTask = job && job->hasTask(end.task);
+    const bool changesProgress = end.end == RunEnd::Done || end.end == RunEnd::Failed;
+    const bool awaitsStore = isKnownTask && changesProgress;
+    if (!endpoint.noteEnd(end.number, awaitsStore ? std::optional(end.task.job) : std::nullopt)) {
+        return;
+    }
+    const auto found = endpoint.runs.find(end.task);
+    const bool isCurrent = found != endpoint.runs.end() && found->second.run == end.run;
+    if (isCurrent) {
+        endpoint.removeRun(end.task);
+    }
+    this->log("task-end", {{"job", end.task.job.value},
+                           {"task", toText(end.task)},
+                           {"run", std::to_string(end.run.value)},
+                           {"endpoint", endpoint.record.name.value},
+                           {"how", std::string(toString(end.end))},
+                           {"current", isCurrent ? "yes" : "no"}});
+    if (!isKnownTask) {
+        return;
+    }
+    TaskRecord &task = job->task(end.task);
+    const bool isUnaccounted = task.phase == TaskPhase::Unaccounted;
+    if (isCurrent && task.phase == TaskPhase::Placed) {
+        --job->placedTasks;
+    }
+    const bool counts = !isFinal(job->state) && ((isCurrent && task.phase == TaskPhase::Placed) || isUnaccounted);
+    if (counts && end.end == RunEnd::Done) {
+        if (job->state == JobState::Queued) {
+            job->state = JobState::Running;
+        }
+        job->markDone(end.task);
+    } else if (counts && end.end == RunEnd::Failed) {
+        task.lastEndpoint = endpoint.record.name;
+        if (job->markFailedRun(end.task)) {
+            this->stopRuns(now, job->id);
+        } else if (!isUnaccounted) {
+            job->makeWaiting(end.task);
+        }
+    } else if (counts && !isUnaccounted) {
+        job->makeWaiting(end.task);
+    }
+    if (awaitsStore) {
+        this->noteProgress(now, *job);
+    }
+    if (!job->waiting().empty()) {
+        this->queueJob(*job);
+    }
+}
+
+void CellLeader::loseRun(TimePoint now, CellEndpoint &endpoint, TaskRef ref, std::string_view reason)
+{
+    const auto found = endpoint.runs.find(ref);
+    assert(found != endpoint.runs.end());
+    const RunPhase runPhase = found->second.phase;
+    endpoint.removeRun(ref);
+    const std::shared_ptr<CellJob> job = this->findJob(ref.job);
+    if (!job || !job->hasTask(ref) || job->task(ref).phase != TaskPhase::Placed) {
+        return;
+    }
+    if (runPhase == RunPhase::Running || runPhase == RunPhase::Doubtful) {
+        this->log("run-lost", {{"job", ref.job.value}, {"task", toText(ref)}, {"endpoint", endpoint.record.name.value}, {"reason", std::string(reason)}});
+    }
+    --job->placedTasks;
+    if (isFinal(job->state)) {
+        job->task(ref).phase = TaskPhase::Unaccounted;
+        return;
+    }
+    job->makeWaiting(ref);
+    this->queueJob(*job);
+    static_cast<void>(now);
+}
+
+void CellLeader::loseEndpoint(TimePoint now, CellEndpoint &endpoint, std::string_view reason)
+{
+    if (!endpoint.runs.empty()) {
+        this->log("endpoint-lost", {{"endpoint", endpoint.record.name.value}, {"runs", std::to_string(endpoint.runs.size())}, {"reason", std::string(reason)}}, true);
+    }
+    std::vector<TaskRef> tasks;
+    for (const auto &[task, run] : endpoint.runs) {
+        tasks.push_back(task);
+    }
+    for (const TaskRef &task : tasks) {
+        this->loseRun(now, endpoint, task, reason);
+    }
+}
+
+void CellLeader::noteSilence(TimePoint now, CellEndpoint &endpoint)
+{
+    ++endpoint.failuresInRow;
+    endpoint.avoidUntil = now + AvoidAfterSilence;
+    endpoint.nextHoldAt = std::min(endpoint.nextHoldAt, now);
+}
+
+void CellLeader::stopRuns(TimePoint now, const JobId &job)
+{
+    for (auto &[name, endpoint] : this->endpoints) {
+        for (auto &[task, run] : endpoint->runs) {
+            if (task.job == job && run.phase != RunPhase::Stopping) {
+                run.phase = run.phase == RunPhase::Doubtful ? RunPhase::Doubtful : RunPhase::Stopping;
+                this->orderStop(now, *endpoint, task, run);
+            }
+        }
+    }
+}
+
+void CellLeader::orderStop(TimePoint now, CellEndpoint &endpoint, const TaskRef &task, RunRecord &run)
+{
+    run.isStopInFlight = true;
+    run.nextStopAt = now + StopRetry;
+    this->actions.emplace_back(StopRun{endpoint.record.name, endpoint.record.address, task, run.run, this->chain.token()});
+}
+
+void CellLeader::holdEndpoints(TimePoint now)
+{
+    if (!this->mayGiveOrders(now)) {
+        return;
+    }
+    for (auto &[name, endpoint] : this->endpoints) {
+        if (endpoint->isHoldInFlight || now < endpoint->nextHoldAt) {
+            continue;
+        }
+        const bool isIdle = endpoint->isListed && endpoint->runs.empty() && !endpoint->hasUnacknowledged() && endpoint->failuresInRow == 0;
+        if (isIdle && (!endpoint->isRegistered || now < endpoint->lastContactAt + IdleProbe)) {
+            continue;
+        }
+        this->sendHold(now, *endpoint);
+    }
+}
+
+void CellLeader::sendHold(TimePoint now, CellEndpoint &endpoint)
+{
+    HoldEndpoint hold{endpoint.record.name, endpoint.record.address, this->chain.token(), std::nullopt, endpoint.acknowledgable(), Duration{}};
+    if (endpoint.isClockKnown() && !endpoint.runs.empty()) {
+        hold.deadlineMs = endpoint.probableClockMs(now) + toMs(this->options.lease.longest);
+        endpoint.noteGrant(*hold.deadlineMs);
+        hold.wait = endpoint.failuresInRow == 0 && endpoint.isListed ? HoldWait : Duration{};
+    }
+    endpoint.isHoldInFlight = true;
+    endpoint.holdSentAt = now;
+    endpoint.sentAcknowledgement = hold.acknowledged;
+    this->actions.emplace_back(std::move(hold));
+}
+
+CellEndpoint *CellLeader::findEndpoint(const EndpointName &name)
+{
+    const auto found = this->endpoints.find(name);
+    return found == this->endpoints.end() ? nullptr : found->second.get();
+}
+
+} // namespace Tanagertally::Cells
--- /dev/null
+++ b/src/cells/cell_endpoint.cpp
@@ -0,0 +1,135 @@
+#include "cells/cell_endpoint.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace Tanagertally::Cells {
+
+namespace {
+
+std::int64_t toMs(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+} // namespace
+
+CellEndpoint::CellEndpoint(EndpointRecord registered, LeaseTerms terms)
+    : record(std::move(registered))
+    , lease(terms)
+{
+}
+
+Resources CellEndpoint::room() const
+{
+    Resources free = this->record.capacity;
+    free -= this->used;
+    return free;
+}
+
+void CellEndpoint::noteClock(TimePoint now, std::int64_t clockMs)
+{
+    if (this->clock && clockMs < this->certainClockMs(now)) {
+        return; // An answer that was overtaken by a later one.
+    }
+    this->clock = clockMs;
+    this->clockReadAt = now;
+}
+
+bool CellEndpoint::isClockKnown() const
+{
+    return this->clock.has_value();
+}
+
+std::int64_t CellEndpoint::probableClockMs(TimePoint now) const
+{
+    assert(this->clock);
+    return *this->clock + toMs(now - this->clockReadAt);
+}
+
+std::int64_t CellEndpoint::certainClockMs(TimePoint now) const
+{
+    assert(this->clock);
+    return *this->clock + static_cast<std::int64_t>(static_cast<double>(toMs(now - this->clockReadAt)) * LeaseTerms::SlowestClock);
+}
+
+void CellEndpoint::noteGrant(std::int64_t deadlineMs)
+{
+    this->grantedUntilMs = std::max(this->grantedUntilMs, deadlineMs);
+}
+
+bool CellEndpoint::isLapsed(TimePoint now) const
+{
+    return this->clock && this->certainClockMs(now) > this->grantedUntilMs;
+}
+
+void CellEndpoint::addRun(const TaskRef &task, RunRecord run)
+{
+    assert(!this->runs.contains(task));
+    this->used += run.demand;
+    this->runs.emplace(task, std::move(run));
+}
+
+void CellEndpoint::removeRun(const TaskRef &task)
+{
+    const auto found = this->runs.find(task);
+    if (found == this->runs.end()) {
+        return;
+    }
+    this->used -= found->second.demand;
+    this->runs.erase(found);
+}
+
+bool CellEndpoint::noteEnd(std::uint64_t number, std::optional<JobId> awaits)
+{
+    if (number <= this->lastEnd) {
+        return false;
+    }
+    this->lastEnd = number;
+    this->ends.emplace(number, EndRecord{std::move(awaits)});
+    return true;
+}
+
+void CellEndpoint::settleEnds(const JobId &job, std::uint64_t upTo)
+{
+    for (auto &[number, end] : this->ends) {
+        if (number <= upTo && end.awaits == job) {
+            end.awaits.reset();
+        }
+    }
+}
+
+std::uint64_t CellEndpoint::lastListedEnd() const
+{
+    return this->lastEnd;
+}
+
+std::uint64_t CellEndpoint::acknowledgable() const
+{
+    std::uint64_t settled = this->acknowledgedEnd;
+    for (const auto &[number, end] : this->ends) {
+        if (end.awaits) {
+            break;
+        }
+        settled = number;
+    }
+    return settled;
+}
+
+bool CellEndpoint::hasUnacknowledged() const
+{
+    return !this->ends.empty();
+}
+
+void CellEndpoint::noteAcknowledged(std::uint64_t number)
+{
+    this->acknowledgedEnd = std::max(this->acknowledgedEnd, number);
+    this->ends.erase(this->ends.begin(), this->ends.upper_bound(this->acknowledgedEnd));
+}
+
+bool CellEndpoint::hasUnsettledEnds() const
+{
+    return std::ranges::any_of(this->ends, [](const auto &entry) { return entry.second.awaits.has_value(); });
+}
+
+} // namespace Tanagertally::Cells
--- /dev/null
+++ b/src/cells/cell_job.cpp
@@ -0,0 +1,235 @@
+#include "cells/cell_job.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace Tanagertally::Cells {
+
+namespace {
+
+constexpr std::uint32_t MaxTasksPerJob = 1000; // The largest job that the product promises to serve.
+
+} // namespace
+
+CellJob::CellJob(JobId jobId, JobSpec jobSpec, JobTerms jobTerms, TimePoint accepted)
+    : id(std::move(jobId))
+    , spec(std::move(jobSpec))
+    , terms(std::move(jobTerms))
+    , acceptedAt(accepted)
+{
+    for (const StepSpec &step : this->spec.steps) {
+        this->tasks.emplace_back(step.count);
+        this->undone.push_back(step.count);
+    }
+    this->unblock();
+}
+
+TaskRecord &CellJob::task(const TaskRef &ref)
+{
+    assert(this->hasTask(ref));
+    return this->tasks[ref.step][ref.index];
+}
+
+const StepSpec &CellJob::step(const TaskRef &ref) const
+{
+    return this->spec.steps[ref.step];
+}
+
+bool CellJob::hasTask(const TaskRef &ref) const
+{
+    return ref.step < this->tasks.size() && ref.index < this->tasks[ref.step].size();
+}
+
+std::deque<TaskRef> &CellJob::waiting()
+{
+    return this->waitingTasks;
+}
+
+void CellJob::makeWaiting(const TaskRef &ref)
+{
+    TaskRecord &record = this->task(ref);
+    assert(record.phase != TaskPhase::Waiting && record.phase != TaskPhase::Done);
+    record.phase = TaskPhase::Waiting;
+    if (record.starts > 0) {
+        this->waitingTasks.push_front(ref);
+        return;
+    }
+    this->waitingTasks.push_back(ref);
+}
+
+void CellJob::markDone(const TaskRef &ref)
+{
+    TaskRecord &record = this->task(ref);
+    assert(record.phase != TaskPhase::Done);
+    if (record.phase == TaskPhase::Waiting) {
+        std::erase(this->waitingTasks, ref);
+    }
+    record.phase = TaskPhase::Done;
+    this->isProgressDirty = true;
+    if (--this->undone[ref.step] > 0) {
+        return;
+    }
+    this->unblock();
+    if (std::ranges::all_of(this->undone, [](std::uint32_t left) { return left == 0; })) {
+        this->end(JobState::Done);
+    }
+}
+
+bool CellJob::markFailedRun(const TaskRef &ref)
+{
+    TaskRecord &record = this->task(ref);
+    ++record.failures;
+    this->isProgressDirty = true;
+    if (record.failures < this->terms.maxAttempts) {
+        return false;
+    }
+    this->end(JobState::Failed);
+    return true;
+}
+
+void CellJob::end(JobState finalState)
+{
+    assert(isFinal(finalState));
+    this->state = finalState;
+    this->waitingTasks.clear();
+    this->isProgressDirty = true;
+}
+
+void CellJob::restore(const JobProgress &progress)
+{
+    this->wasRecovered = true;
+    this->holdsUnaccounted = true;
+    for (const TaskRef &ref : this->waitingTasks) {
+        this->task(ref).phase = TaskPhase::Unaccounted;
+    }
+    this->waitingTasks.clear();
+    this->state = progress.state;
+    this->storedState = progress.state;
+    for (const JobProgress::TaskFailures &entry : progress.failures) {
+        const TaskRef ref{this->id, entry.step, entry.index};
+        if (this->hasTask(ref)) {
+            this->task(ref).failures = entry.failures;
+        }
+    }
+    for (const JobProgress::DoneTask &entry : progress.done) {
+        const TaskRef ref{this->id, entry.step, entry.index};
+        if (this->hasTask(ref) && this->task(ref).phase != TaskPhase::Done) {
+            this->markDone(ref);
+        }
+    }
+    this->isProgressDirty = this->state != this->storedState;
+}
+
+void CellJob::releaseUnaccounted()
+{
+    this->holdsUnaccounted = false;
+    if (isFinal(this->state)) {
+        return;
+    }
+    for (std::uint32_t step = 0; step < this->tasks.size(); ++step) {
+        for (std::uint32_t index = 0; index < this->tasks[step].size(); ++index) {
+            if (this->tasks[step][index].phase == TaskPhase::Unaccounted) {
+                this->makeWaiting({this->id, step, index});
+            }
+        }
+    }
+}
+
+JobProgress CellJob::progress() const
+{
+    JobProgress result;
+    result.state = this->state;
+    if (isFinal(this->state)) {
+        return result;
+    }
+    for (std::uint32_t step = 0; step < this->tasks.size(); ++step) {
+        for (std::uint32_t index = 0; index < this->tasks[step].size(); ++index) {
+            const TaskRecord &record = this->tasks[step][index];
+            if (record.phase == TaskPhase::Done) {
+                result.done.push_back({step, index});
+            } else if (record.failures > 0) {
+                result.failures.push_back({step, index, record.failures});
+            }
+        }
+    }
+    return result;
+}
+
+double CellJob::remainingWork() const
+{
+    double work = 0;
+    for (std::size_t step = 0; step < this->tasks.size(); ++step) {
+        const StepSpec &spec = this->spec.steps[step];
+        const double estimateMs = std::chrono::duration<double, std::milli>(spec.estimate).count();
+        work += estimateMs * static_cast<double>(spec.demand.cpu) * this->undone[step];
+    }
+    return work / 1000;
+}
+
+Duration CellJob::estimatedChain() const
+{
+    std::vector<Duration> ends(this->spec.steps.size());
+    Duration longest{};
+    for (std::size_t step = 0; step < ends.size(); ++step) {
+        Duration start{};
+        for (const std::uint32_t earlier : this->spec.steps[step].after) {
+            start = std::max(start, ends[earlier]);
+        }
+        ends[step] = start + this->spec.steps[step].estimate;
+        longest = std::max(longest, ends[step]);
+    }
+    return longest;
+}
+
+void CellJob::unblock()
+{
+    for (std::uint32_t step = 0; step < this->tasks.size(); ++step) {
+        if (!this->isReady(step)) {
+            continue;
+        }
+        for (std::uint32_t index = 0; index < this->tasks[step].size(); ++index) {
+            TaskRecord &record = this->tasks[step][index];
+            if (record.phase != TaskPhase::Blocked) {
+                continue;
+            }
+            if (this->holdsUnaccounted) {
+                record.phase = TaskPhase::Unaccounted;
+                continue;
+            }
+            this->makeWaiting({this->id, step, index});
+        }
+    }
+}
+
+bool CellJob::isReady(std::uint32_t step) const
+{
+    return std::ranges::all_of(this->spec.steps[step].after, [this](std::uint32_t earlier) { return this->undone[earlier] == 0; });
+}
+
+std::string findSpecFault(const JobSpec &spec)
+{
+    if (spec.steps.empty()) {
+        return "steps: at least one step is needed";
+    }
+    std::uint64_t tasks = 0;
+    for (std::size_t number = 0; number < spec.steps.size(); ++number) {
+        const StepSpec &step = spec.steps[number];
+        const std::string field = "steps[" + std::to_string(number) + "].";
+        if (step.count == 0) {
+            return field + "count: must be at least 1";
+        }
+        if (std::ranges::any_of(step.after, [number](std::uint32_t earlier) { return earlier >= number; })) {
+            return field + "after: may only name earlier steps";
+        }
+        if (step.demand.cpu < 0 || step.demand.memoryMb < 0 || step.demand.gpu < 0) {
+            return field + "cpu, mem-mb and gpu: must not be negative";
+        }
+        tasks += step.count;
+    }
+    if (tasks > MaxTasksPerJob) {
+        return "steps: more than " + std::to_string(MaxTasksPerJob) + " tasks";
+    }
+    return {};
+}
+
+} // namespace Tanagertally::Cells
--- /dev/null
+++ b/src/cells/commit_chain.cpp
@@ -0,0 +1,168 @@
+#include "cells/commit_chain.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace Tanagertally::Cells {
+
+namespace {
+
+constexpr Duration FirstPause = std::chrono::milliseconds(40); // About ten transactions of the users' store.
+constexpr Duration LongestPause = std::chrono::milliseconds(400); // Keeps the return after an outage well under its 2 s bound.
+
+} // namespace
+
+CommitChain::CommitChain(CellName cellName, InstanceName self, Incarnation incarnation)
+    : cell(std::move(cellName))
+    , lead{std::move(self), incarnation, FenceToken(0), 0}
+{
+}
+
+void CommitChain::adopt(const std::optional<LeadRecord> &former, RowVersion version)
+{
+    assert(this->state == State::Idle);
+    this->lead.token = FenceToken(former ? former->token.value + 1 : 1);
+    this->lead.number = former ? former->number : 0;
+    this->expected = version;
+}
+
+bool CommitChain::isIdle() const
+{
+    return this->state == State::Idle;
+}
+
+FenceToken CommitChain::token() const
+{
+    return this->lead.token;
+}
+
+TimePoint CommitChain::confirmedAt() const
+{
+    return this->lastConfirmed;
+}
+
+void CommitChain::commit(TimePoint now, StoreTransaction content, bool releases, std::vector<CellAction> &actions)
+{
+    assert(this->state == State::Idle);
+    ++this->lead.number;
+    LeadRecord written = this->lead;
+    if (releases) {
+        written.owner = InstanceName();
+    }
+    this->transaction = std::move(content);
+    this->transaction.conditions.push_back({leadKey(this->cell), this->expected});
+    this->transaction.writes.push_back({leadKey(this->cell), encodeLead(written)});
+    this->pauseLength = FirstPause;
+    this->send(now, actions);
+}
+
+ChainStep CommitChain::onCommitted(TimePoint now, TransactionResult result, std::vector<Row> &rows, std::vector<CellAction> &actions)
+{
+    if (this->state != State::Sent) {
+        return ChainStep::Waiting;
+    }
+    switch (result.end) {
+    case TransactionEnd::Applied:
+        return this->settle(result.version);
+    case TransactionEnd::NotDone:
+        this->pause(now, State::PausedBeforeSending);
+        return ChainStep::Waiting;
+    case TransactionEnd::Unknown:
+        this->read(now, actions);
+        return ChainStep::Waiting;
+    case TransactionEnd::Conflict:
+        break;
+    }
+    const RowKey key = leadKey(this->cell);
+    const auto row = std::ranges::find(result.rows, key, &Row::key);
+    const RowVersion version = row == result.rows.end() ? RowVersion(0) : row->version;
+    if (version == this->expected) {
+        this->state = State::Idle;
+        --this->lead.number;
+        this->lastConfirmed = this->sentAt;
+        rows = std::move(result.rows);
+        return ChainStep::Rejected;
+    }
+    if (row != result.rows.end() && this->isOwn(*row)) {
+        return this->settle(version);
+    }
+    this->state = State::Idle;
+    return ChainStep::Deposed;
+}
+
+ChainStep CommitChain::onLeadRead(TimePoint now, const ReadResult &result, std::vector<CellAction> &actions)
+{
+    if (this->state != State::Reading) {
+        return ChainStep::Waiting;
+    }
+    if (!result.isAnswered) {
+        this->pause(now, State::PausedBeforeReading);
+        return ChainStep::Waiting;
+    }
+    const auto row = std::ranges::find(result.rows, leadKey(this->cell), &Row::key);
+    const RowVersion version = row == result.rows.end() ? RowVersion(0) : row->version;
+    if (version == this->expected) {
+        this->lastConfirmed = this->sentAt;
+        this->send(now, actions);
+        return ChainStep::Waiting;
+    }
+    if (row != result.rows.end() && this->isOwn(*row)) {
+        return this->settle(version);
+    }
+    this->state = State::Idle;
+    return ChainStep::Deposed;
+}
+
+void CommitChain::advance(TimePoint now, std::vector<CellAction> &actions)
+{
+    if (now < this->resumeAt) {
+        return;
+    }
+    if (this->state == State::PausedBeforeSending) {
+        this->send(now, actions);
+    } else if (this->state == State::PausedBeforeReading) {
+        this->read(now, actions);
+    }
+}
+
+void CommitChain::send(TimePoint now, std::vector<CellAction> &actions)
+{
+    this->state = State::Sent;
+    this->sentAt = now;
+    actions.emplace_back(CommitRows{this->transaction});
+}
+
+void CommitChain::read(TimePoint now, std::vector<CellAction> &actions)
+{
+    this->state = State::Reading;
+    this->sentAt = now;
+    actions.emplace_back(ReadLead{leadKey(this->cell)});
+}
+
+void CommitChain::pause(TimePoint now, State next)
+{
+    this->state = next;
+    this->resumeAt = now + this->pauseLength;
+    this->pauseLength = std::min(2 * this->pauseLength, LongestPause);
+}
+
+ChainStep CommitChain::settle(RowVersion version)
+{
+    this->expected = version;
+    this->state = State::Idle;
+    this->lastConfirmed = this->sentAt;
+    this->transaction = {};
+    return ChainStep::Applied;
+}
+
+bool CommitChain::isOwn(const Row &row) const
+{
+    const Result<LeadRecord> read = decodeLead(row.value);
+    if (read.has_error()) {
+        return false;
+    }
+    const LeadRecord &found = read.value();
+    return found.incarnation == this->lead.incarnation && found.token == this->lead.token && found.number == this->lead.number;
+}
+
+} // namespace Tanagertally::Cells
--- /dev/null
+++ b/src/cells/store_rows.cpp
@@ -0,0 +1,161 @@
+#include "cells/store_rows.h"
+
+#include "cells/job_cbor.h"
+
+#include <fmt/format.h>
+
+namespace Tanagertally::Cells {
+
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr std::uint64_t IdPartitions = 16; ///< So that no partition's transaction rate binds; 250/s each on the users' platform.
+
+template<typename Decode>
+auto decodeRow(std::string_view value, std::string_view what, Decode decode) -> Result<decltype(decode(Json()))>
+{
+    try {
+        return decode(fromCborText(value));
+    } catch (const Json::exception &error) {
+        return makeError(ErrorCode::BadInput, fmt::format("can't read the {} row: {}", what, error.what()), std::string(what));
+    }
+}
+
+Json endpointToJson(const EndpointRecord &endpoint)
+{
+    return Json::array({endpoint.name.value, endpoint.service.value, endpoint.address.value, endpoint.domain.value, endpoint.capacity.cpu,
+                        endpoint.capacity.memoryMb, endpoint.capacity.gpu, endpoint.labels});
+}
+
+EndpointRecord endpointFromJson(const Json &json)
+{
+    EndpointRecord endpoint;
+    endpoint.name = EndpointName(json.at(0).get<std::string>());
+    endpoint.service = ServiceName(json.at(1).get<std::string>());
+    endpoint.address = NetAddress(json.at(2).get<std::string>());
+    endpoint.domain = FailureDomain(json.at(3).get<std::string>());
+    endpoint.capacity = {json.at(4).get<std::int64_t>(), json.at(5).get<std::int64_t>(), json.at(6).get<std::int64_t>()};
+    endpoint.labels = json.at(7).get<std::vector<std::string>>();
+    return endpoint;
+}
+
+} // namespace
+
+RowKey leadKey(const CellName &cell)
+{
+    return {std::string(CellsTable), cell.value, "lead"};
+}
+
+RowKey rosterKey(const CellName &cell)
+{
+    return {std::string(CellsTable), cell.value, "roster"};
+}
+
+RowKey jobKey(const CellName &cell, const JobId &job)
+{
+    return {std::string(JobsTable), cell.value, job.value};
+}
+
+RowKey progressKey(const CellName &cell, const JobId &job)
+{
+    return {std::string(ProgressTable), cell.value, job.value};
+}
+
+RowKey idKey(const JobId &job)
+{
+    return {std::string(IdsTable), fmt::format("{:02x}", stableHash(job.value) % IdPartitions), job.value};
+}
+
+RowKey instanceKey(const InstanceName &instance)
+{
+    return {std::string(InstancesTable), "", instance.value};
+}
+
+std::string encodeLead(const LeadRecord &lead)
+{
+    return toCborText(Json::array({lead.owner.value, lead.incarnation.value, lead.token.value, lead.number}));
+}
+
+Result<LeadRecord> decodeLead(std::string_view value)
+{
+    return decodeRow(value, "lead", [](const Json &json) {
+        return LeadRecord{InstanceName(json.at(0).get<std::string>()), Incarnation(json.at(1).get<std::uint64_t>()),
+                          FenceToken(json.at(2).get<std::uint64_t>()), json.at(3).get<std::uint64_t>()};
+    });
+}
+
+std::string encodeJob(const CellJob &job)
+{
+    return toCborText(Json::array({specToJson(job.spec), termsToJson(job.terms)}));
+}
+
+Result<StoredJob> decodeJob(const JobId &id, std::string_view value)
+{
+    return decodeRow(value, "job", [&id](const Json &json) { return StoredJob{id, specFromJson(json.at(0)), termsFromJson(json.at(1))}; });
+}
+
+std::string encodeProgress(const JobProgress &progress)
+{
+    Json done = Json::array();
+    for (const JobProgress::DoneTask &task : progress.done) {
+        done.push_back({task.step, task.index});
+    }
+    Json failures = Json::array();
+    for (const JobProgress::TaskFailures &task : progress.failures) {
+        failures.push_back({task.step, task.index, task.failures});
+    }
+    return toCborText(Json::array({static_cast<int>(progress.state), std::move(done), std::move(failures)}));
+}
+
+Result<JobProgress> decodeProgress(std::string_view value)
+{
+    return decodeRow(value, "progress", [](const Json &json) {
+        JobProgress progress;
+        progress.state = static_cast<JobState>(json.at(0).get<int>());
+        for (const Json &task : json.at(1)) {
+            progress.done.push_back({task.at(0).get<std::uint32_t>(), task.at(1).get<std::uint32_t>()});
+        }
+        for (const Json &task : json.at(2)) {
+            progress.failures.push_back({task.at(0).get<std::uint32_t>(), task.at(1).get<std::uint32_t>(), task.at(2).get<std::uint32_t>()});
+        }
+        return progress;
+    });
+}
+
+std::string encodeRoster(std::span<const EndpointRecord> endpoints)
+{
+    Json rows = Json::array();
+    for (const EndpointRecord &endpoint : endpoints) {
+        rows.push_back(endpointToJson(endpoint));
+    }
+    return toCborText(rows);
+}
+
+Result<std::vector<EndpointRecord>> decodeRoster(std::string_view value)
+{
+    return decodeRow(value, "roster", [](const Json &json) {
+        std::vector<EndpointRecord> endpoints;
+        for (const Json &row : json) {
+            endpoints.push_back(endpointFromJson(row));
+        }
+        return endpoints;
+    });
+}
+
+std::string encodeInstance(const InstanceRecord &instance)
+{
+    return toCborText(Json::array({instance.name.value, instance.incarnation.value, instance.peerAddress.value, instance.domain.value,
+                                   instance.coreShare, instance.isLeaving}));
+}
+
+Result<InstanceRecord> decodeInstance(std::string_view value)
+{
+    return decodeRow(value, "instance", [](const Json &json) {
+        return InstanceRecord{InstanceName(json.at(0).get<std::string>()), Incarnation(json.at(1).get<std::uint64_t>()),
+                              NetAddress(json.at(2).get<std::string>()), FailureDomain(json.at(3).get<std::string>()),
+                              json.at(4).get<double>(), json.at(5).get<bool>()};
+    });
+}
+
+} // namespace Tanagertally::Cells
--- a/src/endpoint/endpoint_codec.cpp
+++ b/src/endpoint/endpoint_codec.cpp
@@ -70,9 +70,9 @@
 
 } // namespace
 
-HttpRequest makeRunRequest(const StartAttempt &action, std::string_view host)
+HttpClientRequest makeRunRequest(const StartAttempt &action, std::string_view host)
 {
-    HttpRequest request(http::verb::post, "/run", HttpVersion);
+    HttpClientRequest request(http::verb::post, "/run", HttpVersion);
     request.set(http::field::host, host);
     request.set("Task-Id", percentEncode(action.key.value) + '#' + std::to_string(action.task));
     request.set("Task-Kind", percentEncode(action.kind.value));
@@ -82,9 +82,9 @@
     return request;
 }
 
-HttpRequest makeHealthRequest(std::string_view host)
+HttpClientRequest makeHealthRequest(std::string_view host)
 {
-    HttpRequest request(http::verb::get, "/health", HttpVersion);
+    HttpClientRequest request(http::verb::get, "/health", HttpVersion);
     request.set(http::field::host, host);
     request.keep_alive(false);
     return request;
--- a/src/endpoint/endpoint_codec.h
+++ b/src/endpoint/endpoint_codec.h
@@ -15,14 +15,14 @@
  * @param host Value of the Host header.
  * Thread safety: any thread.
  */
-HttpRequest makeRunRequest(const StartAttempt &action, std::string_view host);
+HttpClientRequest makeRunRequest(const StartAttempt &action, std::string_view host);
 
 /**
  * Make the request of a health probe.
  * @param host Value of the Host header.
  * Thread safety: any thread.
  */
-HttpRequest makeHealthRequest(std::string_view host);
+HttpClientRequest makeHealthRequest(std::string_view host);
 
 /**
  * Tell how an attempt ended. Anything but a whole, well-formed answer of a known status counts as Lost.
--- a/src/endpoint/http_connection.cpp
+++ b/src/endpoint/http_connection.cpp
@@ -71,7 +71,7 @@
     this->buffer.reserve(FirstBufferBytes);
 }
 
-void HttpConnection::exchange(HttpRequest newRequest, std::optional<SteadyTimePoint> giveUpAt, HttpResultHandler handler)
+void HttpConnection::exchange(HttpClientRequest newRequest, std::optional<SteadyTimePoint> giveUpAt, HttpResultHandler handler)
 {
     this->request = std::move(newRequest);
     this->deadline = giveUpAt;
@@ -119,7 +119,7 @@
         this->startTimer(*this->deadline, "timeout");
     }
     this->writeStart = std::chrono::steady_clock::now();
-    const HttpRequest &message = this->request;
+    const HttpClientRequest &message = this->request;
     http::async_write(this->socket, message, [self = this->shared_from_this()](const error_code &error, std::size_t bytesWritten) {
         self->onWritten(error, bytesWritten);
     });
--- a/src/endpoint/http_connection.h
+++ b/src/endpoint/http_connection.h
@@ -55,7 +55,7 @@
      * @param handler Called exactly once, never from within this call.
      * @pre The connection is new or isUsable().
      */
-    void exchange(HttpRequest newRequest, std::optional<SteadyTimePoint> giveUpAt, HttpResultHandler handler);
+    void exchange(HttpClientRequest newRequest, std::optional<SteadyTimePoint> giveUpAt, HttpResultHandler handler);
 
     /**
      * Close the connection. A request in flight ends by the evidence, or with its answer if that is whole already.
@@ -87,7 +87,7 @@
     HttpConnectionOptions options; ///< Limits.
     ConnectionLife life; ///< Life cycle and evidence.
     boost::beast::flat_buffer buffer; ///< Bytes read and not yet parsed; its memory is kept between requests.
-    HttpRequest request; ///< Request in flight.
+    HttpClientRequest request; ///< Request in flight.
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser; ///< Parser of its answer.
     HttpResultHandler done; ///< Takes the result; empty when no request is in flight.
     std::optional<SteadyTimePoint> deadline; ///< When the request in flight is given up.
--- a/src/endpoint/http_type.h
+++ b/src/endpoint/http_type.h
@@ -68,7 +68,7 @@
     }
 };
 
-using HttpRequest = boost::beast::http::request<PayloadBody>; ///< A request to send.
+using HttpClientRequest = boost::beast::http::request<PayloadBody>; ///< A request to send.
 using HttpAnswer = boost::beast::http::response<boost::beast::http::string_body>; ///< An answer as received.
 
 /** What is known about the delivery of a request. */
@@ -92,7 +92,7 @@
 /** A request to a pool. */
 struct HttpCall {
     HttpCallId id; ///< Unique among the pool's unfinished requests.
-    HttpRequest request; ///< What to send.
+    HttpClientRequest request; ///< What to send.
     std::optional<Duration> maxIdle; ///< Use no connection that has been idle for longer; unset for any.
     std::optional<SteadyTimePoint> deadline; ///< When the request is given up; unset for never.
     HttpResultHandler done; ///< Called exactly once, on the pool's strand.
--- /dev/null
+++ b/src/node/leadership.cpp
@@ -0,0 +1,50 @@
+#include "node/leadership.h"
+
+#include "core/hash_func.h"
+
+#include <algorithm>
+#include <numeric>
+#include <tuple>
+
+namespace Tanagertally::Cells {
+
+bool isLeaderLost(const LeadObservation &lead, bool isObserverInDomain, const LeadershipLimits &limits)
+{
+    if (lead.leader.empty() || lead.isGone) {
+        return true;
+    }
+    if (lead.storeSilence > limits.storeSilence) {
+        return true;
+    }
+    if (lead.linkSilence <= limits.linkSilence) {
+        return false;
+    }
+    // Across failure domains a silent link may be a partition, behind which the leader goes on working.
+    return (isObserverInDomain && lead.isInDomain) || lead.rowSilence > limits.rowSilence;
+}
+
+std::vector<std::size_t> rankCandidates(const CellName &cell, const FailureDomain &domain, std::span<const LeadCandidate> candidates)
+{
+    const auto rank = [&](std::size_t number) {
+        const LeadCandidate &candidate = candidates[number];
+        return std::tuple(candidate.domain != domain, candidate.ledCells, -candidate.coreShare,
+                          stableHash(cell.value, stableHash(candidate.name.value)));
+    };
+    std::vector<std::size_t> order(candidates.size());
+    std::iota(order.begin(), order.end(), 0);
+    std::ranges::sort(order, [&rank](std::size_t left, std::size_t right) { return rank(left) < rank(right); });
+    return order;
+}
+
+bool isOwnTurn(const InstanceName &self, const CellName &cell, const FailureDomain &domain, std::span<const LeadCandidate> candidates,
+               Duration vacantFor, const LeadershipLimits &limits)
+{
+    const std::vector<std::size_t> order = rankCandidates(cell, domain, candidates);
+    const auto own = std::ranges::find_if(order, [&](std::size_t number) { return candidates[number].name == self; });
+    if (own == order.end()) {
+        return false;
+    }
+    return vacantFor >= (own - order.begin()) * limits.turn;
+}
+
+} // namespace Tanagertally::Cells
--- /dev/null
+++ b/src/node/node.cpp
@@ -0,0 +1,372 @@
+#include "node/node.h"
+
+#include <algorithm>
+#include <ctime>
+
+namespace Tanagertally::Cells {
+
+namespace {
+
+constexpr Duration CallRetry = std::chrono::milliseconds(60); // While a cell has no leader that can be asked.
+constexpr std::size_t MaxRememberedJobs = 20000; // About two minutes of an instance's share of jobs at 160 a second; 2 MB.
+constexpr Duration NoCellRetryAfter = std::chrono::seconds(1); // A cell without a leader has one again after about this.
+
+} // namespace
+
+TimePoint currentTime()
+{
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return TimePoint(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+}
+
+Node::Node(NodeOptions nodeOptions, NodePorts nodePorts)
+    : options(std::move(nodeOptions))
+    , ports(std::move(nodePorts))
+    , startedAt(currentTime())
+{
+    for (const FailureDomain &domain : this->options.domains) {
+        this->cells[CellName(domain.value)].vacantSince = this->startedAt;
+    }
+}
+
+bool Node::setConfig(FleetConfig config)
+{
+    if (config.version <= this->fleetConfig.version) {
+        return false;
+    }
+    this->log("config", {{"version", std::to_string(config.version)}, {"former", std::to_string(this->fleetConfig.version)}, {"queues", std::to_string(config.queues.size())}});
+    this->fleetConfig = std::move(config);
+    return true;
+}
+
+const FleetConfig &Node::config() const
+{
+    return this->fleetConfig;
+}
+
+void Node::submit(CallId call, JobId id, JobSpec spec, JobTerms terms, TimePoint deadline)
+{
+    const CallId own(++this->lastCall);
+    PendingCall &pending = this->calls[own];
+    pending.kind = PendingCall::Kind::Submission;
+    pending.origin = call;
+    pending.id = std::move(id);
+    pending.job = std::make_shared<const std::pair<JobSpec, JobTerms>>(std::move(spec), std::move(terms));
+    pending.deadline = deadline - this->options.callReserve;
+    this->offer(own, pending);
+}
+
+void Node::ask(CallId call, JobId id, JobQuestion question, TimePoint deadline)
+{
+    const CallId own(++this->lastCall);
+    PendingCall &pending = this->calls[own];
+    pending.kind = PendingCall::Kind::Question;
+    pending.origin = call;
+    pending.id = std::move(id);
+    pending.question = question;
+    pending.deadline = deadline - this->options.callReserve;
+    this->askLeader(own, pending);
+}
+
+void Node::forget(CallId call)
+{
+    std::erase_if(this->calls, [call](const auto &entry) {
+        const PendingCall &pending = entry.second;
+        return pending.connection == 0 && pending.origin == call;
+    });
+}
+
+void Node::offer(CallId call, PendingCall &pending)
+{
+    const auto &[spec, terms] = *pending.job;
+    CellDemand demand;
+    for (const StepSpec &step : spec.steps) {
+        demand.work += std::chrono::duration<double, std::milli>(step.estimate).count() * static_cast<double>(step.demand.cpu) * step.count / 1000;
+        if (demand.affinity.empty()) {
+            demand.affinity = step.affinity;
+        }
+    }
+    for (const CellName &cell : rankCells(this->cells, CellName(this->options.self.domain.value), demand)) {
+        if (std::ranges::find(pending.triedCells, cell) != pending.triedCells.end()) {
+            continue;
+        }
+        CellView &view = this->cells.at(cell);
+        pending.cell = cell;
+        pending.leader = view.leader;
+        pending.isAsking = true;
+        view.sentWork += demand.work;
+        const auto own = this->led.find(cell);
+        if (own != this->led.end()) {
+            pending.leader = InstanceName();
+            own->second.leader->submit(currentTime(), call, pending.id, spec, terms);
+            this->runActions(cell);
+            return;
+        }
+        if (this->peers->send(view.leader, encodeLinkMessage(LinkSubmit{call, cell, pending.id, spec, terms}))) {
+            return;
+        }
+        pending.isAsking = false;
+        pending.triedCells.push_back(cell);
+    }
+    pending.cell = CellName();
+    this->onSubmitAnswer(call, {SubmitVerdict::Refused, pending.triedCells.empty() ? "no-leader" : "no-cell-takes-it", NoCellRetryAfter});
+}
+
+void Node::onSubmitAnswer(CallId call, SubmitAnswer answer)
+{
+    const auto found = this->calls.find(call);
+    if (found == this->calls.end()) {
+        return;
+    }
+    PendingCall &pending = found->second;
+    if (pending.kind == PendingCall::Kind::RemoteSubmission) {
+        this->peers->reply(pending.connection, encodeLinkMessage(LinkSubmitReply{pending.origin, std::move(answer)}));
+        this->calls.erase(found);
+        return;
+    }
+    pending.isAsking = false;
+    const bool isElsewhere = answer.verdict == SubmitVerdict::Refused && !pending.cell.empty()
+        && (answer.reason == "not-leading" || answer.reason == "no-endpoint-fits");
+    if (isElsewhere && currentTime() < pending.deadline) {
+        pending.triedCells.push_back(pending.cell);
+        this->offer(call, pending);
+        return;
+    }
+    if (answer.verdict == SubmitVerdict::Accepted) {
+        this->noteCellOf(pending.id, pending.cell);
+    } else {
+        this->log("submission-answered", {{"job", pending.id.value},
+                                          {"verdict", answer.verdict == SubmitVerdict::Refused ? "refused" : "unknown"},
+                                          {"reason", answer.reason},
+                                          {"cell", pending.cell.value}});
+    }
+    const CallId origin = pending.origin;
+    this->calls.erase(found);
+    this->ports.answerSubmission(origin, std::move(answer));
+}
+
+void Node::askLeader(CallId call, PendingCall &pending)
+{
+    if (pending.cell.empty()) {
+        const auto known = this->cellOfJob.find(pending.id);
+        if (known == this->cellOfJob.end()) {
+            pending.isReadingId = true;
+            this->readId(call, pending.id);
+            return;
+        }
+        pending.cell = known->second;
+    }
+    const auto cell = this->cells.find(pending.cell);
+    if (cell == this->cells.end()) {
+        this->onJobAnswer(call, {JobAnswer::Kind::Unknown, JobState::Queued});
+        return;
+    }
+    if (const auto own = this->led.find(pending.cell); own != this->led.end() && !own->second.leader->isReleasing()) {
+        if (pending.question == JobQuestion::State) {
+            this->onJobAnswer(call, own->second.leader->query(pending.id));
+            return;
+        }
+        pending.isAsking = true;
+        pending.leader = InstanceName();
+        const CellName name = pending.cell;
+        own->second.leader->cancel(currentTime(), call, pending.id);
+        this->runActions(name);
+        return;
+    }
+    const InstanceName &leader = cell->second.leader;
+    const bool isSent = !leader.empty() && leader != this->options.self.name && !cell->second.isGone
+        && this->peers->send(leader, encodeLinkMessage(LinkJobAsk{call, pending.cell, pending.id, pending.question}));
+    pending.isAsking = isSent;
+    pending.leader = leader;
+    if (!isSent) {
+        pending.retryAt = currentTime() + CallRetry;
+    }
+}
+
+void Node::readId(CallId call, const JobId &id)
+{
+    const RowKey key = idKey(id);
+    this->ports.read({key.table, key.part, key.key, 1}, [this, call, key](const ReadResult &result) {
+        const auto found = this->calls.find(call);
+        if (found == this->calls.end()) {
+            return;
+        }
+        PendingCall &pending = found->second;
+        pending.isReadingId = false;
+        if (!result.isAnswered) {
+            pending.retryAt = currentTime() + CallRetry;
+            return;
+        }
+        const auto row = std::ranges::find(result.rows, key, &Row::key);
+        if (row == result.rows.end()) {
+            this->onJobAnswer(call, {JobAnswer::Kind::NoSuchJob, JobState::Queued});
+            return;
+        }
+        pending.cell = CellName(row->value);
+        this->noteCellOf(pending.id, pending.cell);
+        this->askLeader(call, pending);
+    });
+}
+
+void Node::onJobAnswer(CallId call, JobAnswer answer)
+{
+    const auto found = this->calls.find(call);
+    if (found == this->calls.end()) {
+        return;
+    }
+    PendingCall &pending = found->second;
+    if (pending.kind == PendingCall::Kind::RemoteQuestion) {
+        this->peers->reply(pending.connection, encodeLinkMessage(LinkJobReply{pending.origin, answer}));
+        this->calls.erase(found);
+        return;
+    }
+    pending.isAsking = false;
+    const TimePoint now = currentTime();
+    if (answer.kind == JobAnswer::Kind::Unknown && now < pending.deadline) {
+        pending.retryAt = now + CallRetry;
+        return;
+    }
+    if (answer.kind != JobAnswer::Kind::Known) {
+        this->log("question-answered", {{"job", pending.id.value},
+                                        {"answer", answer.kind == JobAnswer::Kind::Unknown ? "unknown" : "no-such-job"},
+                                        {"cell", pending.cell.value}});
+    }
+    const CallId origin = pending.origin;
+    this->calls.erase(found);
+    this->ports.answerJob(origin, answer);
+}
+
+void Node::retryCalls(TimePoint now)
+{
+    std::vector<CallId> due;
+    for (const auto &[call, pending] : this->calls) {
+        const bool isOwn = pending.connection == 0;
+        const bool isWaiting = !pending.isAsking && !pending.isReadingId && now >= pending.retryAt;
+        if (isOwn && (now >= pending.deadline || isWaiting)) {
+            due.push_back(call);
+        }
+    }
+    for (const CallId call : due) {
+        const auto found = this->calls.find(call);
+        if (found == this->calls.end()) {
+            continue;
+        }
+        PendingCall &pending = found->second;
+        const bool isOver = now >= pending.deadline;
+        if (pending.kind == PendingCall::Kind::Submission) {
+            this->onSubmitAnswer(call, {SubmitVerdict::Unknown, "no answer in time", {}});
+        } else if (isOver) {
+            this->onJobAnswer(call, {JobAnswer::Kind::Unknown, JobState::Queued});
+        } else {
+            this->askLeader(call, pending);
+        }
+    }
+}
+
+void Node::failCallsTo(const InstanceName &instance)
+{
+    std::vector<CallId> failed;
+    for (const auto &[call, pending] : this->calls) {
+        if (pending.connection == 0 && pending.isAsking && pending.leader == instance) {
+            failed.push_back(call);
+        }
+    }
+    for (const CallId call : failed) {
+        PendingCall &pending = this->calls.at(call);
+        if (pending.kind == PendingCall::Kind::Submission) {
+            this->onSubmitAnswer(call, {SubmitVerdict::Unknown, "the link to the leader broke", {}});
+            continue;
+        }
+        pending.isAsking = false;
+        pending.retryAt = currentTime() + CallRetry;
+    }
+}
+
+void Node::noteCellOf(const JobId &id, const CellName &cell)
+{
+    if (!this->cellOfJob.emplace(id, cell).second) {
+        return;
+    }
+    this->rememberedJobs.push_back(id);
+    if (this->rememberedJobs.size() > MaxRememberedJobs) {
+        this->cellOfJob.erase(this->rememberedJobs.front());
+        this->rememberedJobs.pop_front();
+    }
+}
+
+std::optional<std::uint64_t> Node::pendingJobs(const QueueName &queue) const
+{
+    std::uint64_t sum = 0;
+    for (const auto &[name, view] : this->cells) {
+        const auto own = this->led.find(name);
+        const CellLoad &load = view.load;
+        if (own != this->led.end() && own->second.leader->isLeading()) {
+            const CellLoad ownLoad = own->second.leader->load();
+            const auto count = ownLoad.pendingJobs.find(queue);
+            sum += count == ownLoad.pendingJobs.end() ? 0 : count->second;
+            continue;
+        }
+        if (view.leader.empty() || view.isGone || !this->peers->isLinked(view.leader)) {
+            return std::nullopt;
+        }
+        const auto count = load.pendingJobs.find(queue);
+        sum += count == load.pendingJobs.end() ? 0 : count->second;
+    }
+    return sum;
+}
+
+bool Node::isReady() const
+{
+    if (this->isLeaving || this->fleetConfig.version == 0) {
+        return false;
+    }
+    return std::ranges::any_of(this->cells, [this](const auto &entry) {
+        const CellView &view = entry.second;
+        const bool isReachable = view.leader == this->options.self.name || this->peers->isLinked(view.leader);
+        return !view.leader.empty() && !view.isGone && isReachable;
+    });
+}
+
+bool Node::isIdle() const
+{
+    return this->led.empty() && this->calls.empty();
+}
+
+void Node::tick()
+{
+    const TimePoint now = currentTime();
+    this->peers->tick();
+    while (!this->delayed.empty() && this->delayed.begin()->first <= now) {
+        const auto due = this->delayed.extract(this->delayed.begin());
+        due.mapped()();
+    }
+    this->heartbeat(now);
+    std::vector<CellName> names;
+    for (const auto &[cell, entry] : this->led) {
+        names.push_back(cell);
+    }
+    for (const CellName &cell : names) {
+        this->led.at(cell).leader->advance(now);
+        this->runActions(cell);
+    }
+    this->retryCalls(now);
+    if (now >= this->nextPlanAt) {
+        this->planLeads(now);
+    }
+    if (this->isAdvertDue || now >= this->nextAdvertAt) {
+        this->advertise(now);
+    }
+}
+
+void Node::callLater(Duration delay, std::function<void()> task)
+{
+    this->delayed.emplace(currentTime() + delay, std::move(task));
+}
+
+void Node::log(std::string event, std::vector<std::pair<std::string, std::string>> fields, bool isWarning) const
+{
+    this->ports.log(LogDecision{std::move(event), std::move(fields), isWarning});
+}
+
+} // namespace Tanagertally::Cells
--- /dev/null
+++ b/src/node/peer_bus.cpp
@@ -0,0 +1,224 @@
+#include "node/peer_bus.h"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+
+namespace Tanagertally::Cells {
+
+namespace {
+
+using SteadyClock = std::chrono::steady_clock;
+
+constexpr std::chrono::milliseconds PingInterval{300}; ///< A third of the silence after which a leader counts as lost.
+constexpr std::chrono::milliseconds DeadLinkSilence{1200}; ///< Four pings without an answer: the connection is given up.
+constexpr std::chrono::milliseconds RedialInterval{250}; ///< Between attempts to open a connection.
+constexpr std::chrono::milliseconds DialTimeout{1000}; ///< A connection that isn't open by then is given up.
+
+} // namespace
+
+Result<std::unique_ptr<PeerBus>> PeerBus::create(boost::asio::io_context &io, const NetAddress &listen, std::string hello,
+                                                 PeerBusHandlers handlers)
+{
+    std::unique_ptr<PeerBus> bus(new PeerBus(io, std::move(hello), std::move(handlers)));
+    WebsocketTransportOptions options;
+    options.listenAddress = listen.value;
+    options.maxHandshakeBytes = options.maxMessageBytes;
+    std::string error;
+    bus->transport = WebsocketTransport::create(options, bus->transportHandlers(), error);
+    if (!bus->transport) {
+        return makeError(ErrorCode::Unavailable, "peer links at " + listen.value + ": " + error, "listen");
+    }
+    bus->transport->start();
+    return bus;
+}
+
+PeerBus::PeerBus(boost::asio::io_context &context, std::string firstMessage, PeerBusHandlers ownerHandlers)
+    : io(context)
+    , hello(std::move(firstMessage))
+    , handlers(std::move(ownerHandlers))
+{
+}
+
+WebsocketTransportHandlers PeerBus::transportHandlers()
+{
+    // Called on the transport's thread; everything is handed over to the owner's.
+    const auto handOver = [this](auto task) {
+        boost::asio::post(this->io, [alive = this->isAlive, task = std::move(task)] {
+            if (*alive) {
+                task();
+            }
+        });
+    };
+    WebsocketTransportHandlers result;
+    result.opened = [this, handOver](ConnectionHandle handle, ConnectionSide side) {
+        handOver([this, handle, side] { this->onOpened(handle, side); });
+    };
+    result.received = [this, handOver](ConnectionHandle handle, const std::string &bytes) {
+        handOver([this, handle, bytes] { this->onReceived(handle, bytes); });
+    };
+    result.heard = [this, handOver](ConnectionHandle handle) { handOver([this, handle] { this->onHeard(handle); }); };
+    result.closed = [this, handOver](ConnectionHandle handle, std::uint16_t) { handOver([this, handle] { this->onClosed(handle); }); };
+    return result;
+}
+
+void PeerBus::setPeers(std::span<const InstanceRecord> peers)
+{
+    for (auto link = this->links.begin(); link != this->links.end();) {
+        const auto peer = std::ranges::find(peers, link->first, &InstanceRecord::name);
+        if (peer != peers.end() && peer->incarnation == link->second.incarnation && peer->peerAddress == link->second.address) {
+            ++link;
+            continue;
+        }
+        if (link->second.handle != 0) {
+            this->transport->post([transport = this->transport.get(), handle = link->second.handle] { transport->abort(handle); });
+        }
+        link = this->links.erase(link);
+    }
+    for (const InstanceRecord &peer : peers) {
+        if (!this->links.contains(peer.name)) {
+            Link &link = this->links[peer.name];
+            link.address = peer.peerAddress;
+            link.incarnation = peer.incarnation;
+            this->dial(peer.name, link);
+        }
+    }
+}
+
+bool PeerBus::send(const InstanceName &peer, const std::string &bytes)
+{
+    const auto link = this->links.find(peer);
+    if (link == this->links.end() || !link->second.isOpen) {
+        return false;
+    }
+    this->reply(link->second.handle, bytes);
+    return true;
+}
+
+void PeerBus::reply(ConnectionHandle connection, const std::string &bytes)
+{
+    this->transport->post([transport = this->transport.get(), connection, bytes] { transport->send(connection, bytes); });
+}
+
+bool PeerBus::isLinked(const InstanceName &peer) const
+{
+    const auto link = this->links.find(peer);
+    return link != this->links.end() && link->second.isOpen;
+}
+
+Duration PeerBus::silence(const InstanceName &peer) const
+{
+    const auto link = this->links.find(peer);
+    if (link == this->links.end() || link->second.heardAt == SteadyClock::time_point()) {
+        return Duration::max();
+    }
+    return SteadyClock::now() - link->second.heardAt;
+}
+
+void PeerBus::tick()
+{
+    const auto now = SteadyClock::now();
+    for (auto &[name, link] : this->links) {
+        if (link.isOpen && now - link.heardAt > DeadLinkSilence) {
+            this->drop(name, link, false);
+        } else if (link.isOpen && now - link.pingedAt > PingInterval) {
+            link.pingedAt = now;
+            this->transport->post([transport = this->transport.get(), handle = link.handle] { transport->ping(handle); });
+        } else if (!link.isOpen && link.handle != 0 && now - link.dialedAt > DialTimeout) {
+            this->drop(name, link, false);
+        } else if (link.handle == 0 && now - link.dialedAt > RedialInterval) {
+            this->dial(name, link);
+        }
+    }
+}
+
+void PeerBus::shutDown()
+{
+    *this->isAlive = false;
+    this->transport->shutDown();
+}
+
+void PeerBus::dial(const InstanceName &name, Link &link)
+{
+    link.dialedAt = SteadyClock::now();
+    this->transport->post([this, name, address = link.address.value] {
+        const ConnectionHandle handle = this->transport->connect(address);
+        boost::asio::post(this->io, [this, alive = this->isAlive, name, handle, address] {
+            const auto found = *alive ? this->links.find(name) : this->links.end();
+            if (found == this->links.end() || found->second.handle != 0 || found->second.address.value != address) {
+                this->transport->post([transport = this->transport.get(), handle] { transport->abort(handle); });
+                return;
+            }
+            found->second.handle = handle;
+        });
+    });
+}
+
+void PeerBus::onOpened(ConnectionHandle handle, ConnectionSide side)
+{
+    this->transport->post([transport = this->transport.get(), handle] { transport->liftMessageLimit(handle); });
+    if (side == ConnectionSide::Acceptor) {
+        return;
+    }
+    const auto link = this->findLink(handle);
+    if (link == this->links.end()) {
+        return;
+    }
+    link->second.isOpen = true;
+    link->second.heardAt = SteadyClock::now();
+    this->reply(handle, this->hello);
+    this->handlers.linked(link->first);
+}
+
+void PeerBus::onReceived(ConnectionHandle handle, std::string bytes)
+{
+    const auto link = this->findLink(handle);
+    if (link == this->links.end()) {
+        this->handlers.asked(handle, std::move(bytes));
+        return;
+    }
+    link->second.heardAt = SteadyClock::now();
+    this->handlers.replied(link->first, std::move(bytes));
+}
+
+void PeerBus::onHeard(ConnectionHandle handle)
+{
+    const auto link = this->findLink(handle);
+    if (link != this->links.end()) {
+        link->second.heardAt = SteadyClock::now();
+    }
+}
+
+void PeerBus::onClosed(ConnectionHandle handle)
+{
+    const auto link = this->findLink(handle);
+    if (link == this->links.end()) {
+        return;
+    }
+    // A connection that fails at once was refused or reset by the machine: nothing listens there.
+    const bool failedAtOnce = !link->second.isOpen && SteadyClock::now() - link->second.dialedAt < RedialInterval;
+    link->second.handle = 0;
+    link->second.isOpen = false;
+    this->handlers.lost(link->first, failedAtOnce);
+    if (!failedAtOnce && *this->isAlive) {
+        const auto again = this->links.find(link->first);
+        if (again != this->links.end()) {
+            this->dial(again->first, again->second);
+        }
+    }
+}
+
+void PeerBus::drop(const InstanceName &name, Link &link, bool wasRefused)
+{
+    this->transport->post([transport = this->transport.get(), handle = link.handle] { transport->abort(handle); });
+    link.handle = 0;
+    link.isOpen = false;
+    this->handlers.lost(name, wasRefused);
+}
+
+std::map<InstanceName, PeerBus::Link>::iterator PeerBus::findLink(ConnectionHandle handle)
+{
+    return std::ranges::find_if(this->links, [handle](const auto &entry) { return entry.second.handle == handle; });
+}
+
+} // namespace Tanagertally::Cells
--- /dev/null
+++ b/src/node/table_follower.h
@@ -0,0 +1,54 @@
+/** Keeps up with a table of the store: reads it whole, then follows its changes. */
+#pragma once
+
+#include "node/node_ports.h"
+
+#include <map>
+
+namespace Tanagertally::Cells {
+
+/** Set-up of a follower. */
+struct TableFollowerOptions {
+    std::string table; ///< The table.
+    std::string from; ///< First key that matters; empty for all.
+    Duration wait = std::chrono::seconds(10); ///< Longest wait for a change; well under the platform's 30 s.
+};
+
+/** Called with all rows, by key, whenever one has changed. */
+using TableHandler = std::function<void(const std::map<std::string, Row> &)>;
+
+/**
+ * Follows one table, in its empty partition. Thread safety: none; the store's answers come on the same thread.
+ */
+class TableFollower
+{
+public:
+    /** Make a follower; start() begins. */
+    TableFollower(TableFollowerOptions options, const NodePorts &ports, TableHandler handler);
+
+    /** Begin to read. */
+    void start();
+
+    /** Repeat what failed. To be called every 20 ms or so. */
+    void tick(TimePoint now);
+
+private:
+    void readPage(std::string from);
+    void follow();
+    void onFailed(const ReadResult &result, bool startsOver);
+    void apply(const Row &row);
+
+    TableFollowerOptions options; ///< Set-up.
+    const NodePorts &ports; ///< The store.
+    TableHandler handler; ///< Hears of changes.
+    std::map<std::string, Row> rows; ///< By key.
+    std::map<std::string, Row> incoming; ///< Rows of the read in progress.
+    RowVersion version; ///< Changes up to here are known.
+    bool isWhole = false; ///< Whether the table was read.
+    bool isFailing = false; ///< Whether the last call failed.
+    bool isWaiting = false; ///< Whether to try again at `retryAt`.
+    TimePoint retryAt; ///< When.
+    Duration pause{}; ///< Length of the last pause.
+};
+
+} // namespace Tanagertally::Cells
--- a/src/operator/operator_handler.h
+++ b/src/operator/operator_handler.h
@@ -1,6 +1,7 @@
 /** Routes operators' requests: what each path and method means. */
 #pragma once
 
+#include "controllers/event_queue.h"
 #include "caller/bearer_auth.h"
 #include "caller/http_handler.h"
 #include "caller/readiness.h"
@@ -17,6 +18,9 @@
 class OperatorHandler
 {
 public:
+    using Events = EventQueue; ///< Takes the events.
+    using Outcome = HttpOutcome; ///< What handle() returns.
+
     Readiness readiness; ///< What /readyz answers.
 
     /** Make a handler that knows operators by `knownOperators`, and takes the text for /metrics from `metrics`. */
--- a/src/platform/platform_codec.cpp
+++ b/src/platform/platform_codec.cpp
@@ -19,18 +19,18 @@
 
 constexpr unsigned HttpVersion = 11; ///< HTTP/1.1, as Beast counts.
 
-HttpRequest makeRequest(http::verb verb, std::string_view target, const PlatformRequestFields &fields)
+HttpClientRequest makeRequest(http::verb verb, std::string_view target, const PlatformRequestFields &fields)
 {
-    HttpRequest request(verb, target, HttpVersion);
+    HttpClientRequest request(verb, target, HttpVersion);
     request.set(http::field::host, fields.host);
     request.set("Client-Instance", fields.instance);
     return request;
 }
 
 /** Make a request with a JSON body. @throws Json::exception if a text in it is not UTF-8. */
-HttpRequest makeJsonRequest(std::string_view target, const Json &document, const PlatformRequestFields &fields)
+HttpClientRequest makeJsonRequest(std::string_view target, const Json &document, const PlatformRequestFields &fields)
 {
-    HttpRequest request = makeRequest(http::verb::post, target, fields);
+    HttpClientRequest request = makeRequest(http::verb::post, target, fields);
     request.set(http::field::content_type, "application/json");
     request.body() = std::make_shared<const std::string>(document.dump());
     request.prepare_payload();
@@ -42,7 +42,7 @@
     return "/v1/objects/" + percentEncode(name.value);
 }
 
-HttpRequest toHttp(const TableTransaction &transaction, const PlatformRequestFields &fields)
+HttpClientRequest toHttp(const TableTransaction &transaction, const PlatformRequestFields &fields)
 {
     Json conditions = Json::array();
     for (const RowCondition &condition : transaction.conditions) {
@@ -55,7 +55,7 @@
     return makeJsonRequest("/v1/transact", {{"conditions", std::move(conditions)}, {"writes", std::move(writes)}}, fields);
 }
 
-HttpRequest toHttp(const TableRead &read, const PlatformRequestFields &fields)
+HttpClientRequest toHttp(const TableRead &read, const PlatformRequestFields &fields)
 {
     Json keys = Json::array();
     for (const RowKey &key : read.keys) {
@@ -68,16 +68,16 @@
     return makeJsonRequest("/v1/read", {{"keys", std::move(keys)}, {"prefixes", std::move(prefixes)}, {"limit", read.limit}}, fields);
 }
 
-HttpRequest toHttp(const ObjectPut &put, const PlatformRequestFields &fields)
+HttpClientRequest toHttp(const ObjectPut &put, const PlatformRequestFields &fields)
 {
-    HttpRequest request = makeRequest(http::verb::put, objectTarget(put.name), fields);
+    HttpClientRequest request = makeRequest(http::verb::put, objectTarget(put.name), fields);
     request.set(http::field::content_type, "application/octet-stream");
     request.body() = std::make_shared<const std::string>(put.body);
     request.prepare_payload();
     return request;
 }
 
-HttpRequest toHttp(const ObjectGet &get, const PlatformRequestFields &fields)
+HttpClientRequest toHttp(const ObjectGet &get, const PlatformRequestFields &fields)
 {
     return makeRequest(http::verb::get, objectTarget(get.name), fields);
 }
@@ -256,7 +256,7 @@
 
 } // namespace
 
-Result<HttpRequest> makePlatformRequest(const PlatformRequest &request, const PlatformRequestFields &fields)
+Result<HttpClientRequest> makePlatformRequest(const PlatformRequest &request, const PlatformRequestFields &fields)
 {
     try {
         return std::visit([&fields](const auto &typed) { return toHttp(typed, fields); }, request);
@@ -265,7 +265,7 @@
     }
 }
 
-HttpRequest makeInstancesRequest(const PlatformRequestFields &fields)
+HttpClientRequest makeInstancesRequest(const PlatformRequestFields &fields)
 {
     return makeRequest(http::verb::get, "/v1/instances", fields);
 }
--- a/src/platform/platform_codec.h
+++ b/src/platform/platform_codec.h
@@ -23,14 +23,14 @@
  * @return The HTTP request, or BadInput if a text in it is not UTF-8.
  * Thread safety: any thread.
  */
-Result<HttpRequest> makePlatformRequest(const PlatformRequest &request, const PlatformRequestFields &fields);
+Result<HttpClientRequest> makePlatformRequest(const PlatformRequest &request, const PlatformRequestFields &fields);
 
 /**
  * Make the request for the instance list.
  * @param fields Common header fields.
  * Thread safety: any thread.
  */
-HttpRequest makeInstancesRequest(const PlatformRequestFields &fields);
+HttpClientRequest makeInstancesRequest(const PlatformRequestFields &fields);
 
 /**
  * Tell what the platform replied.
--- a/src/platform/tests/platform_test.cpp
+++ b/src/platform/tests/platform_test.cpp
@@ -159,14 +159,14 @@
 BOOST_AUTO_TEST_CASE(RequestsFollowProtocol)
 {
     const PlatformRequestFields fields{"127.0.0.1:1", "e1"};
-    const HttpRequest write = makePlatformRequest(sampleWrite(), fields).value();
+    const HttpClientRequest write = makePlatformRequest(sampleWrite(), fields).value();
     BOOST_TEST(write.target() == "/v1/transact");
     BOOST_TEST(write["Client-Instance"] == "e1");
     BOOST_TEST(*write.body() == R"({"conditions":[{"key":"a","version":3}],"writes":[{"key":"a","value":"x"},{"key":"b","value":null}]})");
-    const HttpRequest read = makePlatformRequest(sampleRead(), fields).value();
+    const HttpClientRequest read = makePlatformRequest(sampleRead(), fields).value();
     BOOST_TEST(read.target() == "/v1/read");
     BOOST_TEST(*read.body() == R"({"keys":["a"],"limit":10,"prefixes":["later/"]})");
-    const HttpRequest put = makePlatformRequest(ObjectPut{ObjectName("a/b c"), "body"}, fields).value();
+    const HttpClientRequest put = makePlatformRequest(ObjectPut{ObjectName("a/b c"), "body"}, fields).value();
     BOOST_TEST(put.target() == "/v1/objects/a%2Fb%20c");
     BOOST_TEST(*put.body() == "body");
     BOOST_TEST(makePlatformRequest(TableRead{{RowKey("\xff")}, {}, 1}, fields).has_error());
