Best-effort jobs are served: the caller waits for the end, nothing is stored

Change: such a job is kept by its cell's leader alone and answered when it ends. If the caller or the link to the instance that asked is gone, its runs are stopped, so that the job can be handed in elsewhere without two runs at a time.

--- a/src/cells/cell_action.h
+++ b/src/cells/cell_action.h
@@ -68,7 +68,7 @@
     JobAnswer answer; ///< The answer.
 };
 
-/** Tell whoever asked after a job through another instance that it has ended. */
+/** The lead is lost or given up; nothing follows from this leader. */
 struct LeadEnded {
     CellName cell; ///< The cell that this instance leads no more.
     std::string reason; ///< Why.
--- a/src/cells/cell_dispatch.cpp
+++ b/src/cells/cell_dispatch.cpp
@@ -329,7 +329,7 @@
     const std::shared_ptr<CellJob> job = this->findJob(end.task.job);
     const bool isKnownTask = job && job->hasTask(end.task);
     const bool changesProgress = end.end == RunEnd::Done || end.end == RunEnd::Failed;
-    const bool awaitsStore = isKnownTask && changesProgress;
+    const bool awaitsStore = isKnownTask && changesProgress && !job->spec.isBestEffort;
     if (!endpoint.noteEnd(end.number, awaitsStore ? std::optional(end.task.job) : std::nullopt)) {
         return;
     }
@@ -371,6 +371,10 @@
     if (awaitsStore) {
         this->noteProgress(now, *job);
     }
+    if (job->spec.isBestEffort && isFinal(job->state)) {
+        this->finishBestEffort(now, job);
+        return;
+    }
     if (!job->waiting().empty()) {
         this->queueJob(*job);
     }
--- a/src/cells/cell_leader.cpp
+++ b/src/cells/cell_leader.cpp
@@ -61,8 +61,12 @@
 
 void CellLeader::submit(TimePoint now, CallId call, JobId id, JobSpec spec, JobTerms terms)
 {
+    if (spec.isBestEffort) {
+        this->submitBestEffort(now, call, std::move(id), std::move(spec), std::move(terms));
+        return;
+    }
     if (this->jobs.contains(id) || this->ended.contains(id)) {
-        this->answer(call, {SubmitVerdict::Accepted, {}, {}});
+        this->answer(call, {SubmitVerdict::Accepted, {}, {}, {}});
         return;
     }
     if (PendingAccept *pending = this->findPending(id)) {
@@ -71,7 +75,7 @@
     }
     if (std::optional<std::string> refusal = this->findRefusal(spec, terms)) {
         this->log("job-refused", {{"job", id.value}, {"queue", terms.queue.value}, {"reason", *refusal}});
-        this->answer(call, {SubmitVerdict::Refused, std::move(*refusal), {}});
+        this->answer(call, {SubmitVerdict::Refused, std::move(*refusal), {}, {}});
         return;
     }
     auto job = std::make_shared<CellJob>(std::move(id), std::move(spec), std::move(terms), now);
@@ -79,6 +83,51 @@
     this->flush(now);
 }
 
+void CellLeader::submitBestEffort(TimePoint now, CallId call, JobId id, JobSpec spec, JobTerms terms)
+{
+    if (const auto known = this->bestEffortCalls.find(id); known != this->bestEffortCalls.end()) {
+        this->answer(known->second, {SubmitVerdict::Unknown, "handed in again", {}, {}});
+        known->second = call;
+        return;
+    }
+    if (std::optional<std::string> refusal = this->findRefusal(spec, terms)) {
+        this->log("job-refused", {{"job", id.value}, {"queue", terms.queue.value}, {"reason", *refusal}});
+        this->answer(call, {SubmitVerdict::Refused, std::move(*refusal), {}, {}});
+        return;
+    }
+    auto job = std::make_shared<CellJob>(std::move(id), std::move(spec), std::move(terms), now);
+    this->bestEffortCalls.emplace(job->id, call);
+    this->jobs.emplace(job->id, job);
+    this->queueJob(*job);
+    this->pump(now);
+    this->holdEndpoints(now);
+}
+
+void CellLeader::finishBestEffort(TimePoint now, const std::shared_ptr<CellJob> &job)
+{
+    const auto call = this->bestEffortCalls.find(job->id);
+    if (call != this->bestEffortCalls.end()) {
+        this->answer(call->second, {SubmitVerdict::Ended, {}, {}, job->state});
+        this->bestEffortCalls.erase(call);
+    }
+    this->logEnd(now, *job);
+    this->jobs.erase(job->id);
+}
+
+void CellLeader::withdraw(TimePoint now, CallId call)
+{
+    const auto found = std::ranges::find_if(this->bestEffortCalls, [call](const auto &entry) { return entry.second == call; });
+    if (found == this->bestEffortCalls.end()) {
+        return;
+    }
+    const std::shared_ptr<CellJob> job = this->findJob(found->first);
+    this->bestEffortCalls.erase(found);
+    job->end(JobState::Cancelled);
+    this->stopRuns(now, job->id);
+    this->finishBestEffort(now, job);
+    this->pump(now);
+}
+
 std::optional<std::string> CellLeader::findRefusal(const JobSpec &spec, const JobTerms &terms) const
 {
     if (!this->isLeading() || this->wantsRelease) {
@@ -144,7 +193,7 @@
     this->wantsRelease = true;
     for (const PendingAccept &pending : std::exchange(this->pendingAccepts, {})) {
         for (const CallId call : pending.calls) {
-            this->answer(call, {SubmitVerdict::Refused, "not-leading", {}});
+            this->answer(call, {SubmitVerdict::Refused, "not-leading", {}, {}});
         }
     }
     this->flush(now);
@@ -276,7 +325,7 @@
         this->queueJob(*accept.job);
         this->log("job-accepted", {{"job", accept.job->id.value}, {"queue", accept.job->terms.queue.value}});
         for (const CallId call : accept.calls) {
-            this->answer(call, {SubmitVerdict::Accepted, {}, {}});
+            this->answer(call, {SubmitVerdict::Accepted, {}, {}, {}});
         }
     }
     for (const EndpointName &name : stored.roster) {
@@ -320,7 +369,7 @@
         }
         this->log("job-known", {{"job", accept->job->id.value}, {"cell", row->value}});
         for (const CallId call : accept->calls) {
-            this->answer(call, {SubmitVerdict::Accepted, {}, {}});
+            this->answer(call, {SubmitVerdict::Accepted, {}, {}, {}});
         }
     }
     for (const auto &[id, state] : rejected.progress) {
@@ -513,6 +562,7 @@
 
 void CellLeader::noteProgress(TimePoint now, CellJob &job)
 {
+    assert(!job.spec.isBestEffort);
     job.isProgressDirty = true;
     if (std::ranges::find(this->dirtyJobs, job.id) == this->dirtyJobs.end()) {
         if (this->dirtyJobs.empty()) {
@@ -527,11 +577,7 @@
 {
     const std::shared_ptr<CellJob> job = this->findJob(id);
     assert(job && isFinal(job->state));
-    const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(now - job->acceptedAt).count();
-    this->log("job-ended", {{"job", id.value},
-                            {"queue", job->terms.queue.value},
-                            {"state", std::string(toString(job->state))},
-                            {"took_ms", toText(static_cast<std::uint64_t>(took))}});
+    this->logEnd(now, *job);
     this->ended.emplace(id, EndedJob{job->state, now});
     if (const auto calls = this->cancelCalls.find(id); calls != this->cancelCalls.end()) {
         for (const CallId call : calls->second) {
@@ -542,6 +588,15 @@
     this->jobs.erase(id);
 }
 
+void CellLeader::logEnd(TimePoint now, const CellJob &job)
+{
+    const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(now - job.acceptedAt).count();
+    this->log("job-ended", {{"job", job.id.value},
+                            {"queue", job.terms.queue.value},
+                            {"state", std::string(toString(job.state))},
+                            {"took_ms", toText(static_cast<std::uint64_t>(took))}});
+}
+
 void CellLeader::endLead(std::string reason, bool wasReleased)
 {
     if (this->phase == Phase::Ended) {
@@ -551,15 +606,18 @@
     this->log("lead-ended", {{"reason", reason}}, !wasReleased);
     const auto answerUnknown = [this](const PendingAccept &accept) {
         for (const CallId call : accept.calls) {
-            this->answer(call, {SubmitVerdict::Unknown, "the lead of the cell was lost", {}});
+            this->answer(call, {SubmitVerdict::Unknown, "the lead of the cell was lost", {}, {}});
         }
     };
     std::ranges::for_each(this->batch.accepts, answerUnknown);
     for (const PendingAccept &accept : this->pendingAccepts) {
         for (const CallId call : accept.calls) {
-            this->answer(call, {SubmitVerdict::Refused, "not-leading", {}});
+            this->answer(call, {SubmitVerdict::Refused, "not-leading", {}, {}});
         }
     }
+    for (const auto &[id, call] : this->bestEffortCalls) {
+        this->answer(call, {SubmitVerdict::Unknown, "the lead of the cell was lost", {}, {}});
+    }
     for (const auto &[id, calls] : this->cancelCalls) {
         for (const CallId call : calls) {
             this->actions.emplace_back(AnswerCancel{call, {JobAnswer::Kind::Unknown, JobState::Queued}});
--- a/src/cells/cell_leader.h
+++ b/src/cells/cell_leader.h
@@ -51,9 +51,15 @@
     /** Take over the endpoints of the cell as the registry lists them now. */
     void setEndpoints(TimePoint now, std::span<const EndpointRecord> records);
 
-    /** Take a submission; AnswerSubmission follows. @pre findSpecFault() is empty. */
+    /**
+     * Take a submission; AnswerSubmission follows: once the job is stored, or for a best-effort job once it has ended.
+     * @pre findSpecFault() is empty.
+     */
     void submit(TimePoint now, CallId call, JobId id, JobSpec spec, JobTerms terms);
 
+    /** Give up the best-effort job of a submission whose caller is gone; its runs are stopped. No effect on stored jobs. */
+    void withdraw(TimePoint now, CallId call);
+
     /** Cancel a job; AnswerCancel follows. */
     void cancel(TimePoint now, CallId call, const JobId &id);
 
@@ -134,8 +140,11 @@
     bool isCommitDue(TimePoint now) const;
     void noteProgress(TimePoint now, CellJob &job);
     void finishJob(TimePoint now, const JobId &id);
+    void submitBestEffort(TimePoint now, CallId call, JobId id, JobSpec spec, JobTerms terms);
+    void finishBestEffort(TimePoint now, const std::shared_ptr<CellJob> &job);
     void settleRecovery(TimePoint now);
     std::optional<std::string> findRefusal(const JobSpec &spec, const JobTerms &terms) const;
+    void logEnd(TimePoint now, const CellJob &job);
     PendingAccept *findPending(const JobId &id);
     void answer(CallId call, SubmitAnswer answer);
     void log(std::string event, std::vector<std::pair<std::string, std::string>> fields, bool isWarning = false);
@@ -179,6 +188,7 @@
     TimePoint dirtySince; ///< When the first of them changed.
     TimePoint lastCommitAt; ///< When a transaction was sent last.
     std::unordered_map<JobId, std::vector<CallId>> cancelCalls; ///< Who waits for the end of a cancelling.
+    std::unordered_map<JobId, CallId> bestEffortCalls; ///< Who waits for the end of a best-effort job.
     std::set<JobRank> ready; ///< Jobs with waiting tasks.
     bool wantsRelease = false; ///< Whether the lead is to be given up.
 };
--- a/src/cells/job_cbor.cpp
+++ b/src/cells/job_cbor.cpp
@@ -39,7 +39,7 @@
         steps.push_back(stepToJson(step));
     }
     const std::string &payload = *spec.payload;
-    return Json::array({std::move(steps), Json::binary(std::vector<std::uint8_t>(payload.begin(), payload.end()))});
+    return Json::array({std::move(steps), Json::binary(std::vector<std::uint8_t>(payload.begin(), payload.end())), spec.isBestEffort});
 }
 
 JobSpec specFromJson(const Json &json)
@@ -50,6 +50,7 @@
     }
     const auto &bytes = json.at(1).get_binary();
     spec.payload = std::make_shared<const std::string>(bytes.begin(), bytes.end());
+    spec.isBestEffort = json.at(2).get<bool>();
     return spec;
 }
 
--- a/src/cells/job_type.h
+++ b/src/cells/job_type.h
@@ -24,6 +24,7 @@
 struct JobSpec {
     std::shared_ptr<const std::string> payload; ///< Handed to each task as it is.
     std::vector<StepSpec> steps; ///< The steps.
+    bool isBestEffort = false; ///< Whether the job is not stored: its caller waits for its end and hands it in again if it is lost.
 };
 
 /** Terms of the queue that a job was submitted to, fixed when it is accepted. */
@@ -99,6 +100,7 @@
 /** What became of a submission. */
 enum class SubmitVerdict : std::uint8_t {
     Accepted, ///< The job is stored.
+    Ended, ///< The best-effort job has ended; `state` tells how.
     Refused, ///< The job is not stored and never will be under this submission.
     Unknown, ///< It may be stored.
 };
@@ -108,6 +110,7 @@
     SubmitVerdict verdict = SubmitVerdict::Unknown; ///< What became of it.
     std::string reason; ///< Why it was refused; empty otherwise.
     std::optional<Duration> retryAfter; ///< When to come back, if that can help.
+    JobState state = JobState::Queued; ///< How a best-effort job ended.
 };
 
 /** Answer to a question about a job, or to its cancelling. */
--- a/src/node/link_message.cpp
+++ b/src/node/link_message.cpp
@@ -50,7 +50,8 @@
 Json toJson(const LinkSubmitReply &message)
 {
     const std::int64_t retryAfterMs = message.answer.retryAfter ? toMs(*message.answer.retryAfter) : -1;
-    return Json::array({message.call.value, static_cast<int>(message.answer.verdict), message.answer.reason, retryAfterMs});
+    return Json::array({message.call.value, static_cast<int>(message.answer.verdict), message.answer.reason, retryAfterMs,
+                        static_cast<int>(message.answer.state)});
 }
 
 Json toJson(const LinkJobAsk &message)
@@ -63,6 +64,11 @@
     return Json::array({message.call.value, static_cast<int>(message.answer.kind), static_cast<int>(message.answer.state)});
 }
 
+Json toJson(const LinkWithdraw &message)
+{
+    return Json::array({message.call.value, message.cell.value});
+}
+
 CellAdvert advertFromJson(const Json &json)
 {
     CellAdvert advert;
@@ -110,6 +116,7 @@
     if (json.at(3).get<std::int64_t>() >= 0) {
         message.answer.retryAfter = toDuration(json.at(3));
     }
+    message.answer.state = static_cast<JobState>(json.at(4).get<int>());
     return message;
 }
 
@@ -125,9 +132,14 @@
                         {static_cast<JobAnswer::Kind>(json.at(1).get<int>()), static_cast<JobState>(json.at(2).get<int>())}};
 }
 
+LinkMessage withdrawFromJson(const Json &json)
+{
+    return LinkWithdraw{CallId(json.at(0).get<std::uint64_t>()), CellName(json.at(1).get<std::string>())};
+}
+
 /** Decoders by the number of the message's type in LinkMessage. */
 constexpr LinkMessage (*Decoders[])(const Json &)
-    = {helloFromJson, linkAdvertFromJson, submitFromJson, submitReplyFromJson, jobAskFromJson, jobReplyFromJson};
+    = {helloFromJson, linkAdvertFromJson, submitFromJson, submitReplyFromJson, jobAskFromJson, jobReplyFromJson, withdrawFromJson};
 
 } // namespace
 
--- a/src/node/link_message.h
+++ b/src/node/link_message.h
@@ -44,6 +44,12 @@
     SubmitAnswer answer; ///< The answer.
 };
 
+/** Takes a submission of a best-effort job back, as its caller is gone. No reply. */
+struct LinkWithdraw {
+    CallId call; ///< Call of the sender.
+    CellName cell; ///< The cell.
+};
+
 /** What is asked about a job. */
 enum class JobQuestion : std::uint8_t {
     State, ///< How it stands.
@@ -64,7 +70,7 @@
     JobAnswer answer; ///< The answer.
 };
 
-using LinkMessage = std::variant<LinkHello, LinkAdvert, LinkSubmit, LinkSubmitReply, LinkJobAsk, LinkJobReply>;
+using LinkMessage = std::variant<LinkHello, LinkAdvert, LinkSubmit, LinkSubmitReply, LinkJobAsk, LinkJobReply, LinkWithdraw>;
 
 /** @return A message as bytes. Thread safety: any thread. */
 std::string encodeLinkMessage(const LinkMessage &message);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -71,10 +71,31 @@
 
 void Node::forget(CallId call)
 {
-    std::erase_if(this->calls, [call](const auto &entry) {
-        const PendingCall &pending = entry.second;
-        return pending.connection == 0 && pending.origin == call;
+    const auto found = std::ranges::find_if(this->calls, [call](const auto &entry) {
+        return entry.second.connection == 0 && entry.second.origin == call;
     });
+    if (found == this->calls.end()) {
+        return;
+    }
+    const CallId own = found->first;
+    const PendingCall pending = std::move(found->second);
+    this->calls.erase(found);
+    if (pending.kind == PendingCall::Kind::Submission && pending.isAsking) {
+        this->withdraw(own, pending);
+    }
+}
+
+void Node::withdraw(CallId call, const PendingCall &pending)
+{
+    this->log("submission-withdrawn", {{"job", pending.id.value}, {"cell", pending.cell.value}});
+    if (!pending.leader.empty()) {
+        this->peers->send(pending.leader, encodeLinkMessage(LinkWithdraw{call, pending.cell}));
+        return;
+    }
+    if (const auto led = this->led.find(pending.cell); led != this->led.end()) {
+        led->second.leader->withdraw(currentTime(), call);
+        this->runActions(pending.cell);
+    }
 }
 
 void Node::offer(CallId call, PendingCall &pending)
@@ -110,7 +131,7 @@
         pending.triedCells.push_back(cell);
     }
     pending.cell = CellName();
-    this->onSubmitAnswer(call, {SubmitVerdict::Refused, pending.triedCells.empty() ? "no-leader" : "no-cell-takes-it", NoCellRetryAfter});
+    this->onSubmitAnswer(call, {SubmitVerdict::Refused, pending.triedCells.empty() ? "no-leader" : "no-cell-takes-it", NoCellRetryAfter, {}});
 }
 
 void Node::onSubmitAnswer(CallId call, SubmitAnswer answer)
@@ -135,7 +156,7 @@
     }
     if (answer.verdict == SubmitVerdict::Accepted) {
         this->noteCellOf(pending.id, pending.cell);
-    } else {
+    } else if (answer.verdict != SubmitVerdict::Ended) {
         this->log("submission-answered", {{"job", pending.id.value},
                                           {"verdict", answer.verdict == SubmitVerdict::Refused ? "refused" : "unknown"},
                                           {"reason", answer.reason},
@@ -255,7 +276,10 @@
         PendingCall &pending = found->second;
         const bool isOver = now >= pending.deadline;
         if (pending.kind == PendingCall::Kind::Submission) {
-            this->onSubmitAnswer(call, {SubmitVerdict::Unknown, "no answer in time", {}});
+            if (pending.isAsking) {
+                this->withdraw(call, pending);
+            }
+            this->onSubmitAnswer(call, {SubmitVerdict::Unknown, "no answer in time", {}, {}});
         } else if (isOver) {
             this->onJobAnswer(call, {JobAnswer::Kind::Unknown, JobState::Queued});
         } else {
@@ -275,7 +299,7 @@
     for (const CallId call : failed) {
         PendingCall &pending = this->calls.at(call);
         if (pending.kind == PendingCall::Kind::Submission) {
-            this->onSubmitAnswer(call, {SubmitVerdict::Unknown, "the link to the leader broke", {}});
+            this->onSubmitAnswer(call, {SubmitVerdict::Unknown, "the link to the leader broke", {}, {}});
             continue;
         }
         pending.isAsking = false;
@@ -316,6 +340,11 @@
     return sum;
 }
 
+bool Node::leadsCells() const
+{
+    return !this->led.empty();
+}
+
 bool Node::isReady() const
 {
     if (this->isLeaving || this->fleetConfig.version == 0) {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -61,6 +61,9 @@
     /** @return Accepted jobs of a queue of which no task has started, over all cells; nothing if a cell can't be asked. */
     std::optional<std::uint64_t> pendingJobs(const QueueName &queue) const;
 
+    /** @return Whether this instance leads a cell, or is about to. */
+    bool leadsCells() const;
+
     /** @return Whether callers are welcome. */
     bool isReady() const;
 
@@ -113,6 +116,7 @@
 
     // node.cpp: calls.
     void offer(CallId call, PendingCall &pending);
+    void withdraw(CallId call, const PendingCall &pending);
     void askLeader(CallId call, PendingCall &pending);
     void readId(CallId call, const JobId &id);
     void onSubmitAnswer(CallId call, SubmitAnswer answer);
@@ -137,6 +141,8 @@
     void onMembersRead(const ReadResult &result);
     void onAsked(ConnectionHandle connection, std::string_view bytes);
     void onReplied(const InstanceName &peer, std::string_view bytes);
+    void withdrawCall(CallId call);
+    void onAskerLost(ConnectionHandle connection);
     void onPeerLost(const InstanceName &peer, bool wasRefused);
     bool isMemberAlive(const Member &member, TimePoint now) const;
     std::vector<LeadCandidate> candidates(TimePoint now) const;
--- a/src/node/node_cells.cpp
+++ b/src/node/node_cells.cpp
@@ -46,6 +46,7 @@
     handlers.lost = [this](const InstanceName &peer, bool wasRefused) { this->onPeerLost(peer, wasRefused); };
     handlers.replied = [this](const InstanceName &peer, const std::string &bytes) { this->onReplied(peer, bytes); };
     handlers.asked = [this](ConnectionHandle connection, const std::string &bytes) { this->onAsked(connection, bytes); };
+    handlers.askerLost = [this](ConnectionHandle connection) { this->onAskerLost(connection); };
     return handlers;
 }
 
@@ -392,7 +393,7 @@
                    [&](LinkSubmit &submit) {
                        const auto own = this->led.find(submit.cell);
                        if (own == this->led.end()) {
-                           this->peers->reply(connection, encodeLinkMessage(LinkSubmitReply{submit.call, {SubmitVerdict::Refused, "not-leading", {}}}));
+                           this->peers->reply(connection, encodeLinkMessage(LinkSubmitReply{submit.call, {SubmitVerdict::Refused, "not-leading", {}, {}}}));
                            return;
                        }
                        const CallId call(++this->lastCall);
@@ -400,6 +401,7 @@
                        pending.kind = PendingCall::Kind::RemoteSubmission;
                        pending.origin = submit.call;
                        pending.connection = connection;
+                       pending.cell = submit.cell;
                        own->second.leader->submit(currentTime(), call, std::move(submit.id), std::move(submit.spec), std::move(submit.terms));
                        this->runActions(submit.cell);
                    },
@@ -421,12 +423,45 @@
                        }
                        this->peers->reply(connection, encodeLinkMessage(LinkJobReply{ask.call, answer}));
                    },
+                   [&](LinkWithdraw &withdraw) {
+                       const auto found = std::ranges::find_if(this->calls, [&](const auto &entry) {
+                           return entry.second.connection == connection && entry.second.origin == withdraw.call;
+                       });
+                       if (found != this->calls.end()) {
+                           this->withdrawCall(found->first);
+                       }
+                   },
                    [&](LinkSubmitReply &) {},
                    [&](LinkJobReply &) {},
                },
                message.value());
 }
 
+void Node::withdrawCall(CallId call)
+{
+    const CellName cell = this->calls.at(call).cell;
+    this->calls.erase(call);
+    if (const auto own = this->led.find(cell); own != this->led.end()) {
+        own->second.leader->withdraw(currentTime(), call);
+        this->runActions(cell);
+    }
+}
+
+void Node::onAskerLost(ConnectionHandle connection)
+{
+    this->askers.erase(connection);
+    // Whoever asked has told its callers that the outcome is unknown, and they hand their jobs in again.
+    std::vector<CallId> orphaned;
+    for (const auto &[call, pending] : this->calls) {
+        if (pending.connection == connection && pending.kind == PendingCall::Kind::RemoteSubmission) {
+            orphaned.push_back(call);
+        }
+    }
+    for (const CallId call : orphaned) {
+        this->withdrawCall(call);
+    }
+}
+
 void Node::onReplied(const InstanceName &peer, std::string_view bytes)
 {
     Result<LinkMessage> message = decodeLinkMessage(bytes);
--- a/src/node/peer_bus.cpp
+++ b/src/node/peer_bus.cpp
@@ -118,6 +118,7 @@
 void PeerBus::tick()
 {
     const auto now = SteadyClock::now();
+    this->dropSilentAskers(now);
     for (auto &[name, link] : this->links) {
         if (link.isOpen && now - link.heardAt > DeadLinkSilence) {
             this->drop(name, link, false);
@@ -132,6 +133,21 @@
     }
 }
 
+void PeerBus::dropSilentAskers(SteadyClock::time_point now)
+{
+    std::vector<ConnectionHandle> silent;
+    for (const auto &[handle, heardAt] : this->askers) {
+        if (now - heardAt > DeadLinkSilence) {
+            silent.push_back(handle);
+        }
+    }
+    for (const ConnectionHandle handle : silent) {
+        this->askers.erase(handle);
+        this->transport->post([transport = this->transport.get(), handle] { transport->abort(handle); });
+        this->handlers.askerLost(handle);
+    }
+}
+
 void PeerBus::shutDown()
 {
     *this->isAlive = false;
@@ -158,6 +174,7 @@
 {
     this->transport->post([transport = this->transport.get(), handle] { transport->liftMessageLimit(handle); });
     if (side == ConnectionSide::Acceptor) {
+        this->askers[handle] = SteadyClock::now();
         return;
     }
     const auto link = this->findLink(handle);
@@ -174,7 +191,10 @@
 {
     const auto link = this->findLink(handle);
     if (link == this->links.end()) {
-        this->handlers.asked(handle, std::move(bytes));
+        if (const auto asker = this->askers.find(handle); asker != this->askers.end()) {
+            asker->second = SteadyClock::now();
+            this->handlers.asked(handle, std::move(bytes));
+        }
         return;
     }
     link->second.heardAt = SteadyClock::now();
@@ -183,6 +203,10 @@
 
 void PeerBus::onHeard(ConnectionHandle handle)
 {
+    if (const auto asker = this->askers.find(handle); asker != this->askers.end()) {
+        asker->second = SteadyClock::now();
+        return;
+    }
     const auto link = this->findLink(handle);
     if (link != this->links.end()) {
         link->second.heardAt = SteadyClock::now();
@@ -191,6 +215,10 @@
 
 void PeerBus::onClosed(ConnectionHandle handle)
 {
+    if (this->askers.erase(handle) > 0) {
+        this->handlers.askerLost(handle);
+        return;
+    }
     const auto link = this->findLink(handle);
     if (link == this->links.end()) {
         return;
--- a/src/node/peer_bus.h
+++ b/src/node/peer_bus.h
@@ -17,6 +17,7 @@
     std::function<void(const InstanceName &)> linked; ///< The connection to an instance is open.
     std::function<void(const InstanceName &, bool wasRefused)> lost; ///< The connection is gone, or couldn't be opened.
     std::function<void(const InstanceName &, std::string)> replied; ///< A message came on the connection to an instance.
+    std::function<void(ConnectionHandle)> askerLost; ///< A connection that another instance opened is gone or silent.
     std::function<void(ConnectionHandle, std::string)> asked; ///< A message came on a connection that another instance opened.
 };
 
@@ -74,6 +75,7 @@
     void onReceived(ConnectionHandle handle, std::string bytes);
     void onHeard(ConnectionHandle handle);
     void onClosed(ConnectionHandle handle);
+    void dropSilentAskers(std::chrono::steady_clock::time_point now);
     void drop(const InstanceName &name, Link &link, bool wasRefused);
     std::map<InstanceName, Link>::iterator findLink(ConnectionHandle handle);
 
@@ -81,6 +83,7 @@
     std::string hello; ///< First message on each connection.
     PeerBusHandlers handlers; ///< What the owner hears.
     std::unique_ptr<WebsocketTransport> transport; ///< Connections.
+    std::map<ConnectionHandle, std::chrono::steady_clock::time_point> askers; ///< Connections opened by others, by when they were heard last.
     std::map<InstanceName, Link> links; ///< Connections to others.
     std::shared_ptr<bool> isAlive = std::make_shared<bool>(true); ///< Cleared when the bus is shut down.
 };
--- a/src/node/table_follower.cpp
+++ b/src/node/table_follower.cpp
@@ -62,7 +62,7 @@
         this->isFailing = false;
         this->pause = FirstPause;
         this->handler(this->rows);
-        this->follow();
+        this->followAfter(this->options.pause);
     });
 }
 
@@ -85,10 +85,28 @@
         if (!result.rows.empty()) {
             this->handler(this->rows);
         }
-        this->follow();
+        this->followAfter(this->options.pause);
     });
 }
 
+void TableFollower::followAfter(Duration delay)
+{
+    if (delay == Duration{}) {
+        this->follow();
+        return;
+    }
+    this->isWaiting = true;
+    this->retryAt = currentTime() + delay;
+}
+
+void TableFollower::setPause(Duration length)
+{
+    this->options.pause = length;
+    if (this->isWaiting) {
+        this->retryAt = std::min(this->retryAt, currentTime() + length);
+    }
+}
+
 void TableFollower::apply(const Row &row)
 {
     if (!row.key.part.empty() || row.key.key < this->options.from) {
--- a/src/node/table_follower.h
+++ b/src/node/table_follower.h
@@ -11,6 +11,7 @@
 struct TableFollowerOptions {
     std::string table; ///< The table.
     std::string from; ///< First key that matters; empty for all.
+    Duration pause{}; ///< Between two calls, so that frequent changes come in batches.
     Duration wait = std::chrono::seconds(10); ///< Longest wait for a change; well under the platform's 30 s.
 };
 
@@ -29,12 +30,16 @@
     /** Begin to read. */
     void start();
 
+    /** Set the pause between two calls. */
+    void setPause(Duration length);
+
     /** Repeat what failed. To be called every 20 ms or so. */
     void tick(TimePoint now);
 
 private:
     void readPage(std::string from);
     void follow();
+    void followAfter(Duration delay);
     void onFailed(const ReadResult &result, bool startsOver);
     void apply(const Row &row);
 
