--- /dev/null
+++ b/src/cells/tests/cell_world.cpp
@@ -0,0 +1,440 @@
+#include "cells/tests/cell_world.h"
+
+#include "cells/store_rows.h"
+
+#include <algorithm>
+
+namespace Tanagertally::Cells::Test {
+
+namespace {
+
+constexpr Duration TickInterval = std::chrono::milliseconds(10);
+constexpr Duration StoreDelay = std::chrono::milliseconds(5);
+constexpr Duration OrderDelay = std::chrono::milliseconds(1);
+constexpr Duration AnswerTimeout = std::chrono::milliseconds(400);
+constexpr Duration StopTime = std::chrono::milliseconds(20);
+
+Duration milliseconds(std::int64_t count)
+{
+    return std::chrono::milliseconds(count);
+}
+
+} // namespace
+
+CellWorld::CellWorld(std::size_t endpointCount, std::uint64_t seed)
+    : now(std::chrono::seconds(100))
+    , random(seed)
+{
+    for (std::size_t number = 0; number < endpointCount; ++number) {
+        WorldEndpoint endpoint;
+        endpoint.record.name = EndpointName("e" + std::to_string(number));
+        endpoint.record.service = ServiceName("service");
+        endpoint.record.address = NetAddress("10.0.0." + std::to_string(number) + ":1");
+        endpoint.record.domain = FailureDomain("cell");
+        endpoint.record.capacity = {2000, 1000, 0};
+        endpoint.clockOffsetMs = static_cast<std::int64_t>(number) * 1000;
+        this->endpoints.push_back(std::move(endpoint));
+    }
+}
+
+std::size_t CellWorld::addLeader()
+{
+    const std::size_t index = this->leaders.size();
+    this->leaders.emplace_back();
+    const CellLeaderOptions options{CellName("cell"), InstanceName("i" + std::to_string(index)), Incarnation(index + 1), LeaseTerms()};
+    this->leaders.back().leader = std::make_unique<CellLeader>(options, this->now);
+    this->register_(index);
+    return index;
+}
+
+void CellWorld::register_(std::size_t leader)
+{
+    std::vector<EndpointRecord> records;
+    for (const WorldEndpoint &endpoint : this->endpoints) {
+        if (endpoint.isUp) {
+            records.push_back(endpoint.record);
+        }
+    }
+    this->leaders[leader].leader->setEndpoints(this->now, records);
+    this->runActions(leader);
+}
+
+void CellWorld::pass(Duration duration)
+{
+    this->passUntil([] { return false; }, duration);
+}
+
+bool CellWorld::passUntil(const std::function<bool()> &holds, Duration limit)
+{
+    const TimePoint end = this->now + limit;
+    while (this->now < end && !holds()) {
+        const TimePoint next = this->now + TickInterval;
+        while (!this->queue.empty() && this->queue.begin()->first <= next) {
+            auto entry = this->queue.extract(this->queue.begin());
+            this->now = std::max(this->now, entry.key());
+            for (WorldEndpoint &endpoint : this->endpoints) {
+                this->advanceEndpoint(endpoint);
+            }
+            entry.mapped()();
+        }
+        this->now = next;
+        for (WorldEndpoint &endpoint : this->endpoints) {
+            this->advanceEndpoint(endpoint);
+        }
+        for (std::size_t leader = 0; leader < this->leaders.size(); ++leader) {
+            if (this->leaders[leader].isUp && !this->leaders[leader].isFrozen) {
+                this->leaders[leader].leader->advance(this->now);
+                this->runActions(leader);
+            }
+        }
+    }
+    return holds();
+}
+
+CallId CellWorld::submit(std::size_t leader, const JobId &id, std::uint32_t count, bool isBestEffort, std::uint32_t maxAttempts)
+{
+    StepSpec step;
+    step.count = count;
+    step.demand = {1000, 10, 0};
+    step.estimate = this->workTime;
+    JobSpec spec{std::make_shared<const std::string>("payload"), {step}, isBestEffort};
+    JobTerms terms{QueueName("queue"), ServiceName("service"), 0, maxAttempts, 1.6, milliseconds(60)};
+    const CallId call(++this->lastCall);
+    this->leaders[leader].leader->submit(this->now, call, id, std::move(spec), std::move(terms));
+    this->runActions(leader);
+    return call;
+}
+
+CallId CellWorld::cancel(std::size_t leader, const JobId &id)
+{
+    const CallId call(++this->lastCall);
+    this->leaders[leader].leader->cancel(this->now, call, id);
+    this->runActions(leader);
+    return call;
+}
+
+void CellWorld::thaw(std::size_t leader)
+{
+    this->leaders[leader].isFrozen = false;
+    for (const Handler &handler : std::exchange(this->leaders[leader].held, {})) {
+        handler();
+    }
+    this->runActions(leader);
+}
+
+bool CellWorld::shows(std::size_t leader, const JobId &id, JobState state)
+{
+    const JobAnswer answer = this->leaders[leader].leader->query(id);
+    return answer.kind == JobAnswer::Kind::Known && answer.state == state;
+}
+
+bool CellWorld::isAccepted(std::size_t leader, CallId call) const
+{
+    const auto found = this->leaders[leader].submitAnswers.find(call);
+    return found != this->leaders[leader].submitAnswers.end() && found->second.verdict == SubmitVerdict::Accepted;
+}
+
+std::size_t CellWorld::startsOf(const TaskRef &task) const
+{
+    const auto found = this->starts.find(task);
+    return found == this->starts.end() ? 0 : found->second.size();
+}
+
+void CellWorld::at(TimePoint time, Handler handler)
+{
+    this->queue.emplace(time, std::move(handler));
+}
+
+void CellWorld::runActions(std::size_t leader)
+{
+    for (CellAction &action : this->leaders[leader].leader->takeActions()) {
+        this->carryOut(leader, action);
+    }
+}
+
+void CellWorld::deliver(std::size_t leader, Handler handler)
+{
+    if (!this->leaders[leader].isUp) {
+        return;
+    }
+    if (this->leaders[leader].isFrozen) {
+        this->leaders[leader].held.push_back(std::move(handler));
+        return;
+    }
+    handler();
+    this->runActions(leader);
+}
+
+template<typename Result, typename Do, typename Hand>
+void CellWorld::call(std::size_t leader, CallFate fate, Duration delay, Do carry, Result refused, Result unknown, Hand hand)
+{
+    const auto handOver = [this, leader, hand](Result result) { this->deliver(leader, [hand, result] { hand(result); }); };
+    switch (fate) {
+    case CallFate::Answered:
+        this->at(this->now + delay / 2, [this, delay, carry, handOver] {
+            Result result = carry();
+            this->at(this->now + delay / 2, [handOver, result] { handOver(result); });
+        });
+        return;
+    case CallFate::AnswerLost:
+        this->at(this->now + delay / 2, [carry] { carry(); });
+        this->at(this->now + AnswerTimeout, [handOver, unknown] { handOver(unknown); });
+        return;
+    case CallFate::CarriedOutLate:
+        this->at(this->now + milliseconds(1000 + static_cast<std::int64_t>(drawBelow(this->random, 5000))), [carry] { carry(); });
+        this->at(this->now + AnswerTimeout, [handOver, unknown] { handOver(unknown); });
+        return;
+    case CallFate::Refused:
+        this->at(this->now + delay, [handOver, refused] { handOver(refused); });
+        return;
+    case CallFate::Lost:
+        this->at(this->now + AnswerTimeout, [handOver, unknown] { handOver(unknown); });
+        return;
+    }
+}
+
+void CellWorld::carryOut(std::size_t index, CellAction &action)
+{
+    const auto leader = [this, index]() -> CellLeader & { return *this->leaders[index].leader; };
+    if (auto *commit = std::get_if<CommitRows>(&action)) {
+        ++this->transactionCount;
+        TransactionResult refused;
+        refused.end = TransactionEnd::NotDone;
+        this->call(
+            index, this->storeFate(), StoreDelay, [this, transaction = commit->transaction] { return this->apply(transaction); }, refused,
+            TransactionResult(), [this, leader](const TransactionResult &result) { leader().onCommitted(this->now, result); });
+    } else if (auto *read = std::get_if<ReadLead>(&action)) {
+        this->call(
+            index, this->storeFate(), StoreDelay, [this, key = read->key] { return this->readRange(key.table, key.part, key.key); },
+            ReadResult(), ReadResult(), [this, leader](const ReadResult &result) { leader().onLeadRead(this->now, result); });
+    } else if (auto *cell = std::get_if<ReadCell>(&action)) {
+        this->call(
+            index, CallFate::Answered, StoreDelay, [this, name = cell->cell] { return this->readContent(name); }, CellContent(), CellContent(),
+            [this, leader](const CellContent &content) { leader().onRecovered(this->now, content); });
+    } else if (auto *start = std::get_if<StartRun>(&action)) {
+        const bool reaches = this->find(start->endpoint)->isReachable;
+        this->call(
+            index, reaches ? this->orderFate() : CallFate::Lost, OrderDelay, [this, order = *start] { return this->start(order); },
+            StartResult{StartResult::Kind::Unhealthy, ""}, StartResult(),
+            [this, leader, order = *start](const StartResult &result) { leader().onStarted(this->now, order.endpoint, order.task, order.run, result); });
+    } else if (auto *stop = std::get_if<StopRun>(&action)) {
+        const bool reaches = this->find(stop->endpoint)->isReachable;
+        this->call(
+            index, reaches ? this->orderFate() : CallFate::Lost, OrderDelay, [this, order = *stop] { return this->stop(order); },
+            StopResult::Unknown, StopResult::Unknown,
+            [this, leader, order = *stop](StopResult result) { leader().onStopped(this->now, order.endpoint, order.task, order.run, result); });
+    } else if (auto *hold = std::get_if<HoldEndpoint>(&action)) {
+        const bool reaches = this->find(hold->endpoint)->isReachable;
+        this->call(
+            index, reaches ? this->orderFate() : CallFate::Lost, OrderDelay + hold->wait / 20, [this, order = *hold] { return this->hold(order); },
+            HoldResult(), HoldResult(), [this, leader, name = hold->endpoint](const HoldResult &result) { leader().onHeld(this->now, name, result); });
+    } else if (auto *submitted = std::get_if<AnswerSubmission>(&action)) {
+        this->leaders[index].submitAnswers[submitted->call] = submitted->answer;
+    } else if (auto *cancelled = std::get_if<AnswerCancel>(&action)) {
+        this->leaders[index].cancelAnswers[cancelled->call] = cancelled->answer;
+    } else if (std::holds_alternative<LeadEnded>(action)) {
+        this->leaders[index].hasEnded = true;
+    }
+}
+
+TransactionResult CellWorld::apply(const StoreTransaction &transaction)
+{
+    TransactionResult result;
+    const auto nameOf = [](const RowKey &key) { return std::tuple(key.table, key.part, key.key); };
+    bool holds = true;
+    for (const RowCondition &condition : transaction.conditions) {
+        const auto row = this->rows.find(nameOf(condition.key));
+        const RowVersion found = row == this->rows.end() ? RowVersion(0) : row->second.second;
+        holds = holds && found == condition.version;
+        if (row != this->rows.end()) {
+            result.rows.push_back({condition.key, row->second.first, found, false});
+        }
+    }
+    if (!holds) {
+        result.end = TransactionEnd::Conflict;
+        return result;
+    }
+    result.rows.clear();
+    result.end = TransactionEnd::Applied;
+    result.version = RowVersion(++this->version);
+    for (const RowWrite &write : transaction.writes) {
+        this->rows[nameOf(write.key)] = {write.value, result.version};
+    }
+    for (const RowKey &key : transaction.removals) {
+        this->rows.erase(nameOf(key));
+    }
+    return result;
+}
+
+ReadResult CellWorld::readRange(const std::string &table, const std::string &part, const std::string &from)
+{
+    ReadResult result;
+    result.isAnswered = true;
+    result.version = RowVersion(this->version);
+    for (const auto &[name, row] : this->rows) {
+        const auto &[rowTable, rowPart, key] = name;
+        if (rowTable == table && rowPart == part && key >= from) {
+            result.rows.push_back({{rowTable, rowPart, key}, row.first, row.second, false});
+        }
+    }
+    return result;
+}
+
+CellContent CellWorld::readContent(const CellName &cell)
+{
+    CellContent content;
+    for (const Row &row : this->readRange(std::string(CellsTable), cell.value, "").rows) {
+        if (row.key == rosterKey(cell)) {
+            content.roster = decodeRoster(row.value).value();
+        }
+    }
+    for (const Row &row : this->readRange(std::string(ProgressTable), cell.value, "").rows) {
+        content.progress.push_back({JobId(row.key.key), decodeProgress(row.value).value()});
+    }
+    for (const Row &row : this->readRange(std::string(JobsTable), cell.value, "").rows) {
+        content.jobs.push_back(decodeJob(JobId(row.key.key), row.value).value());
+    }
+    return content;
+}
+
+StartResult CellWorld::start(const StartRun &order)
+{
+    WorldEndpoint &endpoint = *this->find(order.endpoint);
+    using Kind = StartResult::Kind;
+    if (!endpoint.isUp) {
+        return {Kind::Unknown, ""};
+    }
+    this->advanceEndpoint(endpoint);
+    if (order.token < endpoint.token) {
+        return {Kind::Fenced, "fence"};
+    }
+    endpoint.token = order.token;
+    const std::int64_t clock = this->clockOf(endpoint);
+    if (order.deadlineMs < clock) {
+        return {Kind::TooLate, "late"};
+    }
+    const Duration granted = std::min<Duration>(milliseconds(order.deadlineMs - clock), LeaseTerms().longest);
+    endpoint.leaseUntil = std::max(endpoint.leaseUntil, this->now + granted);
+    const auto over = endpoint.over.find(order.task);
+    if (over != endpoint.over.end() && order.run <= over->second) {
+        return {Kind::Superseded, "old"};
+    }
+    const auto same = std::ranges::find(endpoint.runs, order.task, &WorldRun::task);
+    if (same != endpoint.runs.end()) {
+        return same->run == order.run ? StartResult{Kind::Started, ""} : StartResult{Kind::Superseded, "old"};
+    }
+    if (endpoint.runs.size() >= 2) {
+        return {Kind::NoRoom, "room"};
+    }
+    this->checkStart(order.task, order.run);
+    endpoint.runs.push_back({order.task, order.run, this->now, this->now + this->workTime, this->runOutcome()});
+    return {Kind::Started, ""};
+}
+
+void CellWorld::checkStart(const TaskRef &task, RunNumber run)
+{
+    ++this->startCount;
+    this->starts[task].push_back(run);
+    for (const WorldEndpoint &endpoint : this->endpoints) {
+        if (endpoint.isUp && std::ranges::find(endpoint.runs, task, &WorldRun::task) != endpoint.runs.end()) {
+            this->violations.push_back("two runs at a time of " + task.job.value + "." + std::to_string(task.index));
+        }
+    }
+    if (this->notedDone.contains(task)) {
+        this->violations.push_back("a start after its good end was noted of " + task.job.value + "." + std::to_string(task.index));
+    }
+}
+
+StopResult CellWorld::stop(const StopRun &order)
+{
+    WorldEndpoint &endpoint = *this->find(order.endpoint);
+    if (!endpoint.isUp) {
+        return StopResult::Unknown;
+    }
+    if (order.token < endpoint.token) {
+        return StopResult::Fenced;
+    }
+    endpoint.token = order.token;
+    auto &over = endpoint.over[order.task];
+    over = std::max(over, order.run);
+    const auto run = std::ranges::find(endpoint.runs, order.task, &WorldRun::task);
+    if (run != endpoint.runs.end() && run->run <= order.run) {
+        run->outcome = RunEnd::Stopped;
+        run->endsAt = std::min(run->endsAt, this->now + StopTime);
+    }
+    return StopResult::Confirmed;
+}
+
+HoldResult CellWorld::hold(const HoldEndpoint &order)
+{
+    WorldEndpoint &endpoint = *this->find(order.endpoint);
+    HoldResult result;
+    if (!endpoint.isUp) {
+        return result;
+    }
+    this->advanceEndpoint(endpoint);
+    if (order.token < endpoint.token) {
+        result.kind = HoldResult::Kind::Fenced;
+        return result;
+    }
+    endpoint.token = order.token;
+    const std::int64_t clock = this->clockOf(endpoint);
+    if (order.deadlineMs && *order.deadlineMs > clock) {
+        const Duration granted = std::min<Duration>(milliseconds(*order.deadlineMs - clock), LeaseTerms().longest);
+        endpoint.leaseUntil = std::max(endpoint.leaseUntil, this->now + granted);
+    }
+    std::erase_if(endpoint.ends, [&](const WorldEnd &end) {
+        const bool isNoted = end.listed.number <= order.acknowledged;
+        if (isNoted && end.listed.end == RunEnd::Done && !end.hasLapsedSince) {
+            this->notedDone.emplace(end.listed.task, this->now);
+        }
+        return isNoted;
+    });
+    result.kind = HoldResult::Kind::Answered;
+    result.clockMs = clock;
+    for (const WorldRun &run : endpoint.runs) {
+        result.running.push_back({run.task, run.run, 0});
+    }
+    for (const WorldEnd &end : endpoint.ends) {
+        result.finished.push_back(end.listed);
+    }
+    return result;
+}
+
+WorldEndpoint *CellWorld::find(const EndpointName &name)
+{
+    return &*std::ranges::find_if(this->endpoints, [&name](const WorldEndpoint &endpoint) { return endpoint.record.name == name; });
+}
+
+std::int64_t CellWorld::clockOf(const WorldEndpoint &endpoint) const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(this->now.time_since_epoch()).count() + endpoint.clockOffsetMs;
+}
+
+void CellWorld::advanceEndpoint(WorldEndpoint &endpoint)
+{
+    for (std::size_t index = endpoint.runs.size(); index-- > 0;) {
+        const WorldRun &run = endpoint.runs[index];
+        if (run.endsAt <= this->now && run.endsAt <= endpoint.leaseUntil) {
+            this->endRun(endpoint, index, run.outcome);
+        } else if (endpoint.leaseUntil < this->now) {
+            this->endRun(endpoint, index, RunEnd::Lapsed);
+        }
+    }
+    if (endpoint.leaseUntil < this->now) {
+        for (WorldEnd &end : endpoint.ends) {
+            end.hasLapsedSince = true;
+        }
+    }
+}
+
+void CellWorld::endRun(WorldEndpoint &endpoint, std::size_t index, RunEnd end)
+{
+    const WorldRun run = endpoint.runs[index];
+    endpoint.runs.erase(endpoint.runs.begin() + static_cast<std::ptrdiff_t>(index));
+    auto &over = endpoint.over[run.task];
+    over = std::max(over, run.run);
+    endpoint.ends.push_back({{++endpoint.lastEnd, run.task, run.run, end}, this->now, false});
+}
+
+} // namespace Tanagertally::Cells::Test
--- /dev/null
+++ b/src/cells/tests/cell_world.h
@@ -0,0 +1,140 @@
+/** A store, endpoints and leaders of one cell on one virtual clock, with faults between them, for tests. */
+#pragma once
+
+#include "cells/cell_leader.h"
+#include "core/random_base.h"
+
+#include <functional>
+#include <map>
+
+namespace Tanagertally::Cells::Test {
+
+/** What happens to a call. */
+enum class CallFate : std::uint8_t {
+    Answered, ///< It is carried out and answered.
+    AnswerLost, ///< It is carried out; the answer is lost.
+    CarriedOutLate, ///< It gets no answer and is carried out seconds later.
+    Refused, ///< It is refused; nothing is done.
+    Lost, ///< It is lost.
+};
+
+/** One run on an endpoint. */
+struct WorldRun {
+    TaskRef task; ///< The task.
+    RunNumber run; ///< Its number.
+    TimePoint startedAt; ///< When it started.
+    TimePoint endsAt; ///< When its work is done.
+    RunEnd outcome = RunEnd::Done; ///< How it ends then.
+};
+
+/** An end that an endpoint lists. */
+struct WorldEnd {
+    ListedEnd listed; ///< As listed.
+    TimePoint at; ///< When it ended.
+    bool hasLapsedSince = false; ///< Whether the endpoint's lease ran out before the end was acknowledged.
+};
+
+/** An endpoint. */
+struct WorldEndpoint {
+    EndpointRecord record; ///< As registered.
+    bool isUp = true; ///< Whether it runs.
+    bool isReachable = true; ///< Whether calls reach it.
+    std::int64_t clockOffsetMs = 0; ///< Its clock against the world's.
+    TimePoint leaseUntil; ///< End of its lease.
+    FenceToken token; ///< Highest token seen.
+    std::vector<WorldRun> runs; ///< What runs.
+    std::vector<WorldEnd> ends; ///< What is listed.
+    std::uint64_t lastEnd = 0; ///< Number of the last end.
+    std::map<TaskRef, RunNumber> over; ///< Highest run that was stopped or ended, by task.
+};
+
+/** A leader with what the world knows of it. */
+struct WorldLeader {
+    std::unique_ptr<CellLeader> leader; ///< The leader.
+    bool isUp = true; ///< Whether its process lives.
+    bool isFrozen = false; ///< Whether its process stands still.
+    std::vector<std::function<void()>> held; ///< Answers that came while it was frozen.
+    std::map<CallId, SubmitAnswer> submitAnswers; ///< By call.
+    std::map<CallId, JobAnswer> cancelAnswers; ///< By call.
+    bool hasEnded = false; ///< Whether it said that its lead ended.
+};
+
+/** The world. */
+class CellWorld
+{
+public:
+    /** Make a world with endpoints of two places each. */
+    explicit CellWorld(std::size_t endpointCount, std::uint64_t seed = 1);
+
+    TimePoint now; ///< The virtual time.
+    RandomEngine random; ///< Drawn from by faults and run times.
+    std::vector<WorldEndpoint> endpoints; ///< The endpoints.
+    std::vector<WorldLeader> leaders; ///< All leaders that there ever were.
+    std::vector<std::string> violations; ///< Promises that were broken.
+    std::function<CallFate()> storeFate = [] { return CallFate::Answered; }; ///< Of each transaction and read.
+    std::function<CallFate()> orderFate = [] { return CallFate::Answered; }; ///< Of each order to an endpoint.
+    std::function<RunEnd()> runOutcome = [] { return RunEnd::Done; }; ///< Of each run.
+    Duration workTime = std::chrono::milliseconds(60); ///< Of each run.
+    std::size_t startCount = 0; ///< Runs started.
+    std::size_t transactionCount = 0; ///< Transactions sent.
+
+    /** Add a leader that begins to take the lead. @return Its index. */
+    std::size_t addLeader();
+
+    /** Let time pass. */
+    void pass(Duration duration);
+
+    /** Let time pass until something holds, at most for `limit`. @return Whether it holds. */
+    bool passUntil(const std::function<bool()> &holds, Duration limit);
+
+    /** Hand in a job of like tasks. @return The call. */
+    CallId submit(std::size_t leader, const JobId &id, std::uint32_t count, bool isBestEffort = false, std::uint32_t maxAttempts = 2);
+
+    /** Cancel a job. @return The call. */
+    CallId cancel(std::size_t leader, const JobId &id);
+
+    /** Tell a leader which endpoints are registered. */
+    void register_(std::size_t leader);
+
+    /** Let a frozen leader go on. */
+    void thaw(std::size_t leader);
+
+    /** @return Whether a leader shows a job in a state. */
+    bool shows(std::size_t leader, const JobId &id, JobState state);
+
+    /** @return Whether a call was answered with acceptance. */
+    bool isAccepted(std::size_t leader, CallId call) const;
+
+    /** @return Number of runs that started, of one task. */
+    std::size_t startsOf(const TaskRef &task) const;
+
+private:
+    using Handler = std::function<void()>;
+
+    void at(TimePoint time, Handler handler);
+    void runActions(std::size_t leader);
+    void deliver(std::size_t leader, Handler handler);
+    void carryOut(std::size_t leader, CellAction &action);
+    TransactionResult apply(const StoreTransaction &transaction);
+    ReadResult readRange(const std::string &table, const std::string &part, const std::string &from);
+    CellContent readContent(const CellName &cell);
+    StartResult start(const StartRun &order);
+    StopResult stop(const StopRun &order);
+    HoldResult hold(const HoldEndpoint &order);
+    WorldEndpoint *find(const EndpointName &name);
+    std::int64_t clockOf(const WorldEndpoint &endpoint) const;
+    void advanceEndpoint(WorldEndpoint &endpoint);
+    void endRun(WorldEndpoint &endpoint, std::size_t index, RunEnd end);
+    void checkStart(const TaskRef &task, RunNumber run);
+    template<typename Result, typename Do, typename Hand>
+    void call(std::size_t leader, CallFate fate, Duration delay, Do carry, Result refused, Result unknown, Hand hand);
+
+    std::multimap<TimePoint, Handler> queue; ///< What happens later.
+    std::map<std::tuple<std::string, std::string, std::string>, std::pair<std::string, RowVersion>> rows; ///< The store.
+    std::uint64_t version = 0; ///< Of the store.
+    std::uint64_t lastCall = 0; ///< Last number given to a call.
+    std::map<TaskRef, std::vector<RunNumber>> starts; ///< Runs by task.
+    std::map<TaskRef, TimePoint> notedDone; ///< Tasks whose good end was acknowledged.
+};
+
+} // namespace Tanagertally::Cells::Test
--- /dev/null
+++ b/src/cells/tests/leader_test.cpp
@@ -0,0 +1,220 @@
+#include "cells/tests/cell_world.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Tanagertally;
+using namespace Tanagertally::Cells;
+using namespace Tanagertally::Cells::Test;
+using namespace std::chrono_literals;
+
+namespace {
+
+const JobId Job("00000000000000a1");
+
+struct OneLeader {
+    CellWorld world{2};
+    std::size_t leader = world.addLeader();
+
+    OneLeader()
+    {
+        this->world.passUntil([this] { return this->world.leaders[0].leader->isLeading(); }, 1s);
+    }
+
+    bool becomes(const JobId &job, JobState state, Duration limit = 3s)
+    {
+        return this->world.passUntil([&] { return this->world.shows(this->leader, job, state); }, limit);
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Leader)
+
+BOOST_FIXTURE_TEST_CASE(JobIsStoredThenRunThenShownAsDone, OneLeader)
+{
+    const CallId call = this->world.submit(this->leader, Job, 3);
+    BOOST_TEST(!this->world.isAccepted(this->leader, call));
+    BOOST_TEST(this->world.startCount == 0U);
+    BOOST_TEST(this->world.passUntil([&] { return this->world.isAccepted(this->leader, call); }, 100ms));
+    BOOST_TEST(this->becomes(Job, JobState::Done));
+    BOOST_TEST(this->world.startCount == 3U);
+    BOOST_TEST(this->world.violations.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(NothingStartsAndNothingIsAcceptedWhileTheStoreIsDown, OneLeader)
+{
+    this->world.storeFate = [] { return CallFate::Refused; };
+    const CallId call = this->world.submit(this->leader, Job, 3);
+    this->world.pass(1s);
+    BOOST_TEST(!this->world.isAccepted(this->leader, call));
+    BOOST_TEST(this->world.startCount == 0U);
+    this->world.storeFate = [] { return CallFate::Answered; };
+    BOOST_TEST(this->becomes(Job, JobState::Done));
+    BOOST_TEST(this->world.isAccepted(this->leader, call));
+}
+
+BOOST_FIXTURE_TEST_CASE(TransactionWhoseAnswerIsLostIsSettledByReading, OneLeader)
+{
+    int count = 0;
+    this->world.storeFate = [&count] { return count++ == 0 ? CallFate::AnswerLost : CallFate::Answered; };
+    const CallId call = this->world.submit(this->leader, Job, 2);
+    BOOST_TEST(this->becomes(Job, JobState::Done));
+    BOOST_TEST(this->world.isAccepted(this->leader, call));
+    BOOST_TEST(this->world.startCount == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(JobHandedInTwiceRunsOnce, OneLeader)
+{
+    this->world.submit(this->leader, Job, 2);
+    const CallId again = this->world.submit(this->leader, Job, 2);
+    BOOST_TEST(this->becomes(Job, JobState::Done));
+    const CallId later = this->world.submit(this->leader, Job, 2);
+    this->world.pass(100ms);
+    BOOST_TEST(this->world.isAccepted(this->leader, again));
+    BOOST_TEST(this->world.isAccepted(this->leader, later));
+    BOOST_TEST(this->world.startCount == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(TaskThatFailsTooOftenFailsItsJob, OneLeader)
+{
+    this->world.runOutcome = [] { return RunEnd::Failed; };
+    this->world.submit(this->leader, Job, 1, false, 2);
+    BOOST_TEST(this->becomes(Job, JobState::Failed));
+    BOOST_TEST(this->world.startsOf({Job, 0, 0}) == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(CancelledJobIsStoppedAndAnsweredOnceStored, OneLeader)
+{
+    this->world.workTime = 10s;
+    this->world.submit(this->leader, Job, 2);
+    this->world.pass(100ms);
+    BOOST_TEST(this->world.startCount == 2U);
+    const CallId call = this->world.cancel(this->leader, Job);
+    this->world.pass(200ms);
+    BOOST_TEST((this->world.leaders[0].cancelAnswers.at(call).state == JobState::Cancelled));
+    BOOST_TEST(this->world.endpoints[0].runs.size() + this->world.endpoints[1].runs.size() == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(StartWithoutAnswerIsFencedByAStopBeforeTheTaskRunsElsewhere, OneLeader)
+{
+    int count = 0;
+    this->world.pass(50ms);
+    this->world.orderFate = [&count] { return count++ == 0 ? CallFate::CarriedOutLate : CallFate::Answered; };
+    this->world.submit(this->leader, Job, 1);
+    BOOST_TEST(this->becomes(Job, JobState::Done, 2s));
+    this->world.pass(8s);
+    BOOST_TEST(this->world.startsOf({Job, 0, 0}) == 1U);
+    BOOST_TEST(this->world.violations.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(RunsOnASilentEndpointAreRepeatedOnceItsLeaseHasLapsed, OneLeader)
+{
+    this->world.workTime = 500ms;
+    this->world.submit(this->leader, Job, 4);
+    this->world.pass(100ms);
+    this->world.endpoints[0].isReachable = false;
+    BOOST_TEST(this->becomes(Job, JobState::Done, 4s));
+    BOOST_TEST(this->world.violations.empty());
+    BOOST_TEST(this->world.startCount == 6U);
+}
+
+BOOST_FIXTURE_TEST_CASE(DrainingEndpointGetsNothingNew, OneLeader)
+{
+    this->world.endpoints[0].record.isDraining = true;
+    this->world.register_(this->leader);
+    this->world.submit(this->leader, Job, 4);
+    BOOST_TEST(this->becomes(Job, JobState::Done));
+    BOOST_TEST(this->world.endpoints[0].lastEnd == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(NewLeaderFinishesWhatAKilledOneAccepted, OneLeader)
+{
+    this->world.workTime = 400ms;
+    this->world.submit(this->leader, Job, 4);
+    this->world.pass(100ms);
+    this->world.leaders[0].isUp = false;
+    this->leader = this->world.addLeader();
+    BOOST_TEST(this->becomes(Job, JobState::Done));
+    BOOST_TEST(this->world.startCount == 4U); // Runs go on under the new leader.
+    BOOST_TEST(this->world.violations.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(FrozenLeaderThatWakesIsFencedOff, OneLeader)
+{
+    this->world.workTime = 300ms;
+    this->world.submit(this->leader, Job, 8);
+    this->world.pass(100ms);
+    this->world.leaders[0].isFrozen = true;
+    this->leader = this->world.addLeader();
+    BOOST_TEST(this->becomes(Job, JobState::Done, 5s));
+    this->world.thaw(0);
+    this->world.pass(3s);
+    BOOST_TEST(this->world.leaders[0].hasEnded);
+    BOOST_TEST(this->world.violations.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(ReleasedLeadIsTakenWithoutLosingARun, OneLeader)
+{
+    this->world.workTime = 400ms;
+    this->world.submit(this->leader, Job, 4);
+    this->world.pass(100ms);
+    this->world.leaders[0].leader->release(this->world.now);
+    BOOST_TEST(this->world.passUntil([this] { return this->world.leaders[0].hasEnded; }, 1s));
+    this->leader = this->world.addLeader();
+    BOOST_TEST(this->becomes(Job, JobState::Done));
+    BOOST_TEST(this->world.startCount == 4U);
+}
+
+BOOST_FIXTURE_TEST_CASE(UnreachableEndpointOfAFormerLeaderDelaysOnlyRecoveredTasks, OneLeader)
+{
+    this->world.workTime = 400ms;
+    this->world.submit(this->leader, Job, 4);
+    this->world.pass(100ms);
+    this->world.endpoints[0].isReachable = false;
+    this->world.leaders[0].isUp = false;
+    this->leader = this->world.addLeader();
+    this->world.pass(1s);
+    BOOST_TEST(this->world.shows(this->leader, Job, JobState::Running));
+    const JobId fresh("00000000000000a2");
+    this->world.submit(this->leader, fresh, 1);
+    BOOST_TEST(this->becomes(fresh, JobState::Done, 2s));
+    BOOST_TEST(this->becomes(Job, JobState::Done, 12s));
+    BOOST_TEST(this->world.violations.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(BestEffortJobIsAnsweredAtItsEndAndNotStored, OneLeader)
+{
+    this->world.pass(100ms);
+    const std::size_t before = this->world.transactionCount;
+    const CallId call = this->world.submit(this->leader, Job, 3, true);
+    this->world.pass(300ms);
+    const auto &answers = this->world.leaders[0].submitAnswers;
+    BOOST_REQUIRE(answers.contains(call));
+    BOOST_TEST((answers.at(call).verdict == SubmitVerdict::Ended));
+    BOOST_TEST((answers.at(call).state == JobState::Done));
+    BOOST_TEST(this->world.transactionCount == before);
+}
+
+BOOST_FIXTURE_TEST_CASE(RunsOfAWithdrawnJobAreStopped, OneLeader)
+{
+    this->world.workTime = 10s;
+    const CallId call = this->world.submit(this->leader, Job, 3, true);
+    this->world.pass(100ms);
+    BOOST_TEST(this->world.startCount == 3U);
+    this->world.leaders[0].leader->withdraw(this->world.now, call);
+    this->world.pass(200ms);
+    BOOST_TEST(this->world.endpoints[0].runs.size() + this->world.endpoints[1].runs.size() == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(NewLeaderStopsRunsOfBestEffortJobs, OneLeader)
+{
+    this->world.workTime = 10s;
+    this->world.submit(this->leader, Job, 3, true);
+    this->world.pass(100ms);
+    this->world.leaders[0].isUp = false;
+    this->leader = this->world.addLeader();
+    this->world.pass(500ms);
+    BOOST_TEST(this->world.endpoints[0].runs.size() + this->world.endpoints[1].runs.size() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/cells/tests/random_test.cpp
@@ -0,0 +1,117 @@
+// Random faults between leaders, store and endpoints; the promises are checked by the world at each start.
+#include "cells/tests/cell_world.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Tanagertally;
+using namespace Tanagertally::Cells;
+using namespace Tanagertally::Cells::Test;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t Schedules = 300; // About 20 s of processor time.
+
+JobId jobId(std::uint64_t number)
+{
+    std::string digits = std::to_string(number);
+    return JobId(std::string(16 - digits.size(), '0') + digits);
+}
+
+CallFate drawFate(RandomEngine &random, unsigned percent)
+{
+    if (drawBelow(random, 100) >= percent) {
+        return CallFate::Answered;
+    }
+    constexpr std::array<CallFate, 4> Faults = {CallFate::AnswerLost, CallFate::CarriedOutLate, CallFate::Refused, CallFate::Lost};
+    return Faults[drawBelow(random, Faults.size())];
+}
+
+/** Play one schedule. @return What was broken; empty if nothing. */
+std::vector<std::string> play(std::uint64_t seed)
+{
+    CellWorld world(4, seed);
+    unsigned faultPercent = 0;
+    world.storeFate = [&] { return drawFate(world.random, faultPercent); };
+    world.orderFate = [&] { return drawFate(world.random, faultPercent); };
+    world.runOutcome = [&] { return drawBelow(world.random, 30) == 0 ? RunEnd::Failed : RunEnd::Done; };
+    world.workTime = 50ms + std::chrono::milliseconds(drawBelow(world.random, 600));
+    std::size_t leader = world.addLeader();
+    std::map<JobId, std::pair<std::size_t, CallId>> submitted;
+    std::set<JobId> accepted;
+    std::uint64_t nextJob = 1;
+    const auto noteAccepted = [&] {
+        for (const auto &[id, call] : submitted) {
+            if (world.isAccepted(call.first, call.second)) {
+                accepted.insert(id);
+            }
+        }
+    };
+    for (int step = 0; step < 60; ++step) {
+        world.pass(std::chrono::milliseconds(drawBelow(world.random, 250)));
+        noteAccepted();
+        switch (drawBelow(world.random, 12)) {
+        case 0:
+            world.leaders[leader].isUp = false;
+            leader = world.addLeader();
+            break;
+        case 1:
+            world.leaders[leader].isFrozen = true;
+            leader = world.addLeader();
+            break;
+        case 2:
+            world.thaw(drawBelow(world.random, world.leaders.size()));
+            break;
+        case 3:
+            world.endpoints[drawBelow(world.random, 4)].isReachable = false;
+            break;
+        case 4:
+            for (WorldEndpoint &endpoint : world.endpoints) {
+                endpoint.isReachable = true;
+            }
+            break;
+        case 5:
+            faultPercent = static_cast<unsigned>(drawBelow(world.random, 40));
+            break;
+        case 6:
+            world.leaders[leader].leader->release(world.now);
+            leader = world.addLeader();
+            break;
+        default:
+            const JobId id = jobId(nextJob++);
+            const auto count = static_cast<std::uint32_t>(1 + drawBelow(world.random, 4));
+            submitted[id] = {leader, world.submit(leader, id, count, false, 8)};
+            break;
+        }
+        if (world.leaders[leader].hasEnded) {
+            leader = world.addLeader();
+        }
+    }
+    faultPercent = 0;
+    for (WorldEndpoint &endpoint : world.endpoints) {
+        endpoint.isReachable = true;
+    }
+    leader = world.addLeader();
+    world.pass(20s);
+    noteAccepted();
+    for (const JobId &id : accepted) {
+        if (!world.shows(leader, id, JobState::Done) && !world.shows(leader, id, JobState::Failed)) {
+            world.violations.push_back("accepted job " + id.value + " has not ended");
+        }
+    }
+    return world.violations;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(RandomSchedules)
+
+BOOST_AUTO_TEST_CASE(PromisesHold)
+{
+    for (std::uint64_t seed = 1; seed <= Schedules; ++seed) {
+        const std::vector<std::string> violations = play(seed);
+        BOOST_TEST(violations.empty(), "seed " << seed << ": " << (violations.empty() ? "" : violations.front()));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
