--- a/src/caller/http_server.h
+++ b/src/caller/http_server.h
@@ -79,6 +79,12 @@
         }
     }
 
+    /** Let each open connection end with its next reply; new ones are still accepted. Doesn't block. Thread safety: any thread. */
+    void closeAfterReplies()
+    {
+        this->listener->core->stopping = true;
+    }
+
     /** Accept no more connections; each open one ends with its next reply. Doesn't block. Thread safety: any thread. */
     void stopAccepting()
     {
--- a/src/cells/cell_dispatch.cpp
+++ b/src/cells/cell_dispatch.cpp
@@ -65,6 +65,9 @@
 {
     while (!job.waiting().empty()) {
         const TaskRef task = job.waiting().front();
+        if (this->mayStillRun(task)) {
+            return false;
+        }
         const StepSpec &step = job.step(task);
         std::vector<PlacementCandidate> candidates;
         for (const auto &[name, endpoint] : this->endpoints) {
@@ -90,6 +93,11 @@
     return true;
 }
 
+bool CellLeader::mayStillRun(const TaskRef &task) const
+{
+    return std::ranges::any_of(this->endpoints, [&task](const auto &entry) { return entry.second->runs.contains(task); });
+}
+
 void CellLeader::startRun(TimePoint now, CellJob &job, const TaskRef &task, CellEndpoint &endpoint)
 {
     TaskRecord &record = job.task(task);
@@ -268,7 +276,7 @@
     std::unordered_map<TaskRef, RunNumber> listed;
     for (const ListedRun &run : result.running) {
         listed.emplace(run.task, run.run);
-        this->adoptRun(now, endpoint, run);
+        this->adoptRun(now, endpoint, run, result.clockMs);
     }
     std::vector<std::pair<TaskRef, std::string_view>> lost;
     for (const auto &[task, run] : endpoint.runs) {
@@ -287,7 +295,7 @@
     }
 }
 
-void CellLeader::adoptRun(TimePoint now, CellEndpoint &endpoint, const ListedRun &listed)
+void CellLeader::adoptRun(TimePoint now, CellEndpoint &endpoint, const ListedRun &listed, std::int64_t clockMs)
 {
     const auto found = endpoint.runs.find(listed.task);
     if (found != endpoint.runs.end()) {
@@ -297,6 +305,8 @@
         }
         return;
     }
+    // Whoever started it may have granted the longest lease a moment ago.
+    endpoint.noteGrant(clockMs + toMs(this->options.lease.longest));
     const std::shared_ptr<CellJob> job = this->findJob(listed.task.job);
     RunRecord run;
     run.run = listed.run;
@@ -312,14 +322,16 @@
         ++job->placedTasks;
         job->state = JobState::Running;
     } else {
-        run.phase = RunPhase::Stopping;
+        // The instance that handed the job in may still ask for it.
+        run.phase = !job && !this->areOrphansOver ? RunPhase::Running : RunPhase::Stopping;
     }
+    const bool isStopped = run.phase == RunPhase::Stopping;
     this->log(isWanted ? "run-adopted" : "run-unwanted", {{"job", listed.task.job.value},
                                                           {"task", toText(listed.task)},
                                                           {"run", std::to_string(listed.run.value)},
                                                           {"endpoint", endpoint.record.name.value}});
     endpoint.addRun(listed.task, std::move(run));
-    if (!isWanted) {
+    if (isStopped) {
         this->orderStop(now, endpoint, listed.task, endpoint.runs.at(listed.task));
     }
 }
@@ -344,6 +356,9 @@
                            {"endpoint", endpoint.record.name.value},
                            {"how", std::string(toString(end.end))},
                            {"current", isCurrent ? "yes" : "no"}});
+    if (!job && !this->areOrphansOver) {
+        this->orphanEnds[end.task] = end.end;
+    }
     if (!isKnownTask) {
         return;
     }
@@ -463,10 +478,11 @@
 void CellLeader::sendHold(TimePoint now, CellEndpoint &endpoint)
 {
     HoldEndpoint hold{endpoint.record.name, endpoint.record.address, this->chain.token(), std::nullopt, endpoint.acknowledgable(), Duration{}};
-    if (endpoint.isClockKnown() && !endpoint.runs.empty()) {
+    // An endpoint that doesn't answer gets no longer lease, or its runs could never be given up.
+    if (endpoint.isClockKnown() && !endpoint.runs.empty() && endpoint.failuresInRow == 0) {
         hold.deadlineMs = endpoint.probableClockMs(now) + toMs(this->options.lease.longest);
         endpoint.noteGrant(*hold.deadlineMs);
-        hold.wait = endpoint.failuresInRow == 0 && endpoint.isListed ? HoldWait : Duration{};
+        hold.wait = endpoint.isListed ? HoldWait : Duration{};
     }
     endpoint.isHoldInFlight = true;
     endpoint.holdSentAt = now;
--- a/src/cells/cell_endpoint.cpp
+++ b/src/cells/cell_endpoint.cpp
@@ -70,6 +70,14 @@
     this->runs.emplace(task, std::move(run));
 }
 
+void CellEndpoint::setDemand(const TaskRef &task, const Resources &demand)
+{
+    RunRecord &run = this->runs.at(task);
+    this->used -= run.demand;
+    this->used += demand;
+    run.demand = demand;
+}
+
 void CellEndpoint::removeRun(const TaskRef &task)
 {
     const auto found = this->runs.find(task);
--- a/src/cells/cell_endpoint.h
+++ b/src/cells/cell_endpoint.h
@@ -88,6 +88,9 @@
     /** Add a run. */
     void addRun(const TaskRef &task, RunRecord run);
 
+    /** Correct what a run takes. @pre The run is there. */
+    void setDemand(const TaskRef &task, const Resources &demand);
+
     /** Remove a run and give its resources back; no effect if it isn't there. */
     void removeRun(const TaskRef &task);
 
--- a/src/cells/cell_leader.cpp
+++ b/src/cells/cell_leader.cpp
@@ -15,6 +15,7 @@
 constexpr Duration LeadRenewal = std::chrono::seconds(2); // A third of the time after which a leader gives no orders unconfirmed.
 constexpr Duration LeadReadRetry = std::chrono::milliseconds(200); // Pause after a failed read of the lead row.
 constexpr Duration FormerLeaderLimit = std::chrono::seconds(6); // A leader that the store hasn't confirmed for so long gives no orders.
+constexpr Duration OrphanPatience = std::chrono::milliseconds(1200); // Instances notice a change of leader within 1.2 s.
 constexpr Duration RecoveryMargin = std::chrono::milliseconds(200); // For the slowest clock and timers that fire late.
 constexpr Duration EndedJobRetention = std::chrono::seconds(150); // The platform asks for the state of jobs for 120 s.
 
@@ -59,10 +60,10 @@
     this->advance(now);
 }
 
-void CellLeader::submit(TimePoint now, CallId call, JobId id, JobSpec spec, JobTerms terms)
+void CellLeader::submit(TimePoint now, CallId call, JobId id, JobSpec spec, JobTerms terms, bool wasOffered)
 {
     if (spec.isBestEffort) {
-        this->submitBestEffort(now, call, std::move(id), std::move(spec), std::move(terms));
+        this->submitBestEffort(now, call, std::move(id), std::move(spec), std::move(terms), wasOffered);
         return;
     }
     if (this->jobs.contains(id) || this->ended.contains(id)) {
@@ -83,7 +84,7 @@
     this->flush(now);
 }
 
-void CellLeader::submitBestEffort(TimePoint now, CallId call, JobId id, JobSpec spec, JobTerms terms)
+void CellLeader::submitBestEffort(TimePoint now, CallId call, JobId id, JobSpec spec, JobTerms terms, bool wasOffered)
 {
     if (const auto known = this->bestEffortCalls.find(id); known != this->bestEffortCalls.end()) {
         this->answer(known->second, {SubmitVerdict::Unknown, "handed in again", {}, {}});
@@ -98,11 +99,66 @@
     auto job = std::make_shared<CellJob>(std::move(id), std::move(spec), std::move(terms), now);
     this->bestEffortCalls.emplace(job->id, call);
     this->jobs.emplace(job->id, job);
+    if (wasOffered) {
+        this->attachOrphans(now, *job);
+        if (isFinal(job->state)) {
+            this->finishBestEffort(now, job);
+            return;
+        }
+    }
     this->queueJob(*job);
     this->pump(now);
     this->holdEndpoints(now);
 }
 
+void CellLeader::attachOrphans(TimePoint now, CellJob &job)
+{
+    job.restore({});
+    for (auto &[name, endpoint] : this->endpoints) {
+        for (auto &[task, run] : endpoint->runs) {
+            if (task.job == job.id && job.hasTask(task) && run.phase == RunPhase::Running && job.task(task).phase == TaskPhase::Unaccounted) {
+                endpoint->setDemand(task, job.step(task).demand);
+                job.task(task).phase = TaskPhase::Placed;
+                ++job.placedTasks;
+                job.state = JobState::Running;
+            }
+        }
+    }
+    for (auto end = this->orphanEnds.begin(); end != this->orphanEnds.end();) {
+        const TaskRef &task = end->first;
+        if (task.job != job.id) {
+            ++end;
+            continue;
+        }
+        if (job.hasTask(task) && job.task(task).phase == TaskPhase::Unaccounted && end->second == RunEnd::Done) {
+            job.markDone(task);
+        }
+        end = this->orphanEnds.erase(end);
+    }
+    this->log("job-taken-over", {{"job", job.id.value}, {"placed", toText(job.placedTasks)}, {"state", std::string(toString(job.state))}});
+    if (this->isRecoverySettled) {
+        job.releaseUnaccounted();
+    }
+    static_cast<void>(now);
+}
+
+void CellLeader::stopOrphans(TimePoint now)
+{
+    if (this->areOrphansOver || now < this->claimedAt + OrphanPatience) {
+        return;
+    }
+    this->areOrphansOver = true;
+    this->orphanEnds.clear();
+    for (auto &[name, endpoint] : this->endpoints) {
+        for (auto &[task, run] : endpoint->runs) {
+            if (!this->jobs.contains(task.job) && run.phase == RunPhase::Running) {
+                run.phase = RunPhase::Stopping;
+                this->orderStop(now, *endpoint, task, run);
+            }
+        }
+    }
+}
+
 void CellLeader::finishBestEffort(TimePoint now, const std::shared_ptr<CellJob> &job)
 {
     const auto call = this->bestEffortCalls.find(job->id);
@@ -131,7 +187,7 @@
 std::optional<std::string> CellLeader::findRefusal(const JobSpec &spec, const JobTerms &terms) const
 {
     if (!this->isLeading() || this->wantsRelease) {
-        return "not-leading";
+        return std::string(NotLeadingReason);
     }
     for (const StepSpec &step : spec.steps) {
         const bool isServable = std::ranges::any_of(this->endpoints, [&](const auto &entry) {
@@ -139,7 +195,7 @@
             return record.service == terms.service && entry.second->isRegistered && canEverRun(record, step);
         });
         if (!isServable) {
-            return "no-endpoint-fits";
+            return std::string(NoEndpointReason);
         }
     }
     return std::nullopt;
@@ -193,7 +249,7 @@
     this->wantsRelease = true;
     for (const PendingAccept &pending : std::exchange(this->pendingAccepts, {})) {
         for (const CallId call : pending.calls) {
-            this->answer(call, {SubmitVerdict::Refused, "not-leading", {}, {}});
+            this->answer(call, {SubmitVerdict::Refused, std::string(NotLeadingReason), {}, {}});
         }
     }
     this->flush(now);
@@ -475,6 +531,7 @@
     }
     std::erase_if(this->ended, [now](const auto &entry) { return entry.second.endedAt + EndedJobRetention < now; });
     this->settleRecovery(now);
+    this->stopOrphans(now);
     this->pump(now);
     this->holdEndpoints(now);
     this->flush(now);
@@ -606,17 +663,17 @@
     this->log("lead-ended", {{"reason", reason}}, !wasReleased);
     const auto answerUnknown = [this](const PendingAccept &accept) {
         for (const CallId call : accept.calls) {
-            this->answer(call, {SubmitVerdict::Unknown, "the lead of the cell was lost", {}, {}});
+            this->answer(call, {SubmitVerdict::Refused, std::string(MovedReason), {}, {}});
         }
     };
     std::ranges::for_each(this->batch.accepts, answerUnknown);
     for (const PendingAccept &accept : this->pendingAccepts) {
         for (const CallId call : accept.calls) {
-            this->answer(call, {SubmitVerdict::Refused, "not-leading", {}, {}});
+            this->answer(call, {SubmitVerdict::Refused, std::string(NotLeadingReason), {}, {}});
         }
     }
     for (const auto &[id, call] : this->bestEffortCalls) {
-        this->answer(call, {SubmitVerdict::Unknown, "the lead of the cell was lost", {}, {}});
+        this->answer(call, {SubmitVerdict::Refused, std::string(MovedReason), {}, {}});
     }
     for (const auto &[id, calls] : this->cancelCalls) {
         for (const CallId call : calls) {
--- a/src/cells/cell_leader.h
+++ b/src/cells/cell_leader.h
@@ -53,9 +53,10 @@
 
     /**
      * Take a submission; AnswerSubmission follows: once the job is stored, or for a best-effort job once it has ended.
+     * @param wasOffered Whether a former leader of the cell may have run it.
      * @pre findSpecFault() is empty.
      */
-    void submit(TimePoint now, CallId call, JobId id, JobSpec spec, JobTerms terms);
+    void submit(TimePoint now, CallId call, JobId id, JobSpec spec, JobTerms terms, bool wasOffered = false);
 
     /** Give up the best-effort job of a submission whose caller is gone; its runs are stopped. No effect on stored jobs. */
     void withdraw(TimePoint now, CallId call);
@@ -140,7 +141,9 @@
     bool isCommitDue(TimePoint now) const;
     void noteProgress(TimePoint now, CellJob &job);
     void finishJob(TimePoint now, const JobId &id);
-    void submitBestEffort(TimePoint now, CallId call, JobId id, JobSpec spec, JobTerms terms);
+    void submitBestEffort(TimePoint now, CallId call, JobId id, JobSpec spec, JobTerms terms, bool wasOffered);
+    void attachOrphans(TimePoint now, CellJob &job);
+    void stopOrphans(TimePoint now);
     void finishBestEffort(TimePoint now, const std::shared_ptr<CellJob> &job);
     void settleRecovery(TimePoint now);
     std::optional<std::string> findRefusal(const JobSpec &spec, const JobTerms &terms) const;
@@ -161,7 +164,8 @@
     void orderStop(TimePoint now, CellEndpoint &endpoint, const TaskRef &task, RunRecord &run);
     void applyEnd(TimePoint now, CellEndpoint &endpoint, const ListedEnd &end);
     void reconcileRuns(TimePoint now, CellEndpoint &endpoint, const HoldResult &result);
-    void adoptRun(TimePoint now, CellEndpoint &endpoint, const ListedRun &listed);
+    void adoptRun(TimePoint now, CellEndpoint &endpoint, const ListedRun &listed, std::int64_t clockMs);
+    bool mayStillRun(const TaskRef &task) const;
     void loseRun(TimePoint now, CellEndpoint &endpoint, TaskRef task, std::string_view reason);
     void loseEndpoint(TimePoint now, CellEndpoint &endpoint, std::string_view reason);
     void noteSilence(TimePoint now, CellEndpoint &endpoint);
@@ -189,6 +193,8 @@
     TimePoint lastCommitAt; ///< When a transaction was sent last.
     std::unordered_map<JobId, std::vector<CallId>> cancelCalls; ///< Who waits for the end of a cancelling.
     std::unordered_map<JobId, CallId> bestEffortCalls; ///< Who waits for the end of a best-effort job.
+    std::map<TaskRef, RunEnd> orphanEnds; ///< Ends of runs of former leaders whose jobs are not known here.
+    bool areOrphansOver = false; ///< Whether nobody will claim such runs any more.
     std::set<JobRank> ready; ///< Jobs with waiting tasks.
     bool wantsRelease = false; ///< Whether the lead is to be given up.
 };
--- a/src/node/link_message.cpp
+++ b/src/node/link_message.cpp
@@ -44,7 +44,8 @@
 
 Json toJson(const LinkSubmit &message)
 {
-    return Json::array({message.call.value, message.cell.value, message.id.value, specToJson(message.spec), termsToJson(message.terms)});
+    return Json::array({message.call.value, message.cell.value, message.id.value, specToJson(message.spec), termsToJson(message.terms),
+                        message.wasOffered});
 }
 
 Json toJson(const LinkSubmitReply &message)
@@ -104,7 +105,7 @@
 LinkMessage submitFromJson(const Json &json)
 {
     return LinkSubmit{CallId(json.at(0).get<std::uint64_t>()), CellName(json.at(1).get<std::string>()), JobId(json.at(2).get<std::string>()),
-                      specFromJson(json.at(3)), termsFromJson(json.at(4))};
+                      specFromJson(json.at(3)), termsFromJson(json.at(4)), json.at(5).get<bool>()};
 }
 
 LinkMessage submitReplyFromJson(const Json &json)
--- a/src/node/link_message.h
+++ b/src/node/link_message.h
@@ -36,6 +36,7 @@
     JobId id; ///< The job.
     JobSpec spec; ///< What it consists of.
     JobTerms terms; ///< Terms of its queue.
+    bool wasOffered = false; ///< Whether a former leader of the cell may have run it.
 };
 
 /** What became of a submission. */
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -7,6 +7,7 @@
 
 namespace {
 
+constexpr Duration MovedRetry = std::chrono::milliseconds(20); // A released lead is taken again within about 50 ms.
 constexpr Duration CallRetry = std::chrono::milliseconds(60); // While a cell has no leader that can be asked.
 constexpr std::size_t MaxRememberedJobs = 20000; // About two minutes of an instance's share of jobs at 160 a second; 2 MB.
 constexpr Duration NoCellRetryAfter = std::chrono::seconds(1); // A cell without a leader has one again after about this.
@@ -134,6 +135,45 @@
     this->onSubmitAnswer(call, {SubmitVerdict::Refused, pending.triedCells.empty() ? "no-leader" : "no-cell-takes-it", NoCellRetryAfter, {}});
 }
 
+void Node::offerAgain(CallId call, PendingCall &pending)
+{
+    const auto &[spec, terms] = *pending.job;
+    const CellView &view = this->cells.at(pending.cell);
+    const auto own = this->led.find(pending.cell);
+    if (own != this->led.end() && own->second.leader->isLeading() && !own->second.leader->isReleasing()) {
+        pending.isAsking = true;
+        pending.leader = InstanceName();
+        const CellName cell = pending.cell;
+        own->second.leader->submit(currentTime(), call, pending.id, spec, terms, true);
+        this->runActions(cell);
+        return;
+    }
+    const bool isSent = !view.leader.empty() && !view.isGone && view.takesJobs && view.leader != this->options.self.name
+        && this->peers->send(view.leader, encodeLinkMessage(LinkSubmit{call, pending.cell, pending.id, spec, terms, true}));
+    if (!isSent) {
+        pending.retryAt = currentTime() + MovedRetry;
+        return;
+    }
+    pending.isAsking = true;
+    pending.leader = view.leader;
+}
+
+void Node::noteMoved(PendingCall &pending)
+{
+    pending.isAsking = false;
+    pending.wasOffered = true;
+    pending.retryAt = currentTime();
+}
+
+void Node::moveCallsFrom(const CellName &cell, const InstanceName &formerLeader)
+{
+    for (auto &[call, pending] : this->calls) {
+        if (pending.connection == 0 && pending.isAsking && pending.cell == cell && pending.leader == formerLeader) {
+            this->noteMoved(pending);
+        }
+    }
+}
+
 void Node::onSubmitAnswer(CallId call, SubmitAnswer answer)
 {
     const auto found = this->calls.find(call);
@@ -147,8 +187,14 @@
         return;
     }
     pending.isAsking = false;
+    const bool hasMoved = answer.reason == MovedReason || (pending.wasOffered && answer.reason == NotLeadingReason);
+    if (answer.verdict == SubmitVerdict::Refused && hasMoved) {
+        this->noteMoved(pending);
+        pending.retryAt += MovedRetry;
+        return;
+    }
     const bool isElsewhere = answer.verdict == SubmitVerdict::Refused && !pending.cell.empty()
-        && (answer.reason == "not-leading" || answer.reason == "no-endpoint-fits");
+        && (answer.reason == NotLeadingReason || answer.reason == NoEndpointReason);
     if (isElsewhere && currentTime() < pending.deadline) {
         pending.triedCells.push_back(pending.cell);
         this->offer(call, pending);
@@ -275,7 +321,9 @@
         }
         PendingCall &pending = found->second;
         const bool isOver = now >= pending.deadline;
-        if (pending.kind == PendingCall::Kind::Submission) {
+        if (pending.kind == PendingCall::Kind::Submission && !isOver) {
+            this->offerAgain(call, pending);
+        } else if (pending.kind == PendingCall::Kind::Submission) {
             if (pending.isAsking) {
                 this->withdraw(call, pending);
             }
@@ -290,20 +338,8 @@
 
 void Node::failCallsTo(const InstanceName &instance)
 {
-    std::vector<CallId> failed;
-    for (const auto &[call, pending] : this->calls) {
-        if (pending.connection == 0 && pending.isAsking && pending.leader == instance) {
-            failed.push_back(call);
-        }
-    }
-    for (const CallId call : failed) {
-        PendingCall &pending = this->calls.at(call);
-        if (pending.kind == PendingCall::Kind::Submission) {
-            this->onSubmitAnswer(call, {SubmitVerdict::Unknown, "the link to the leader broke", {}, {}});
-            continue;
-        }
-        pending.isAsking = false;
-        pending.retryAt = currentTime() + CallRetry;
+    for (const auto &[cell, view] : this->cells) {
+        this->moveCallsFrom(cell, instance);
     }
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -95,6 +95,7 @@
         CellName cell; ///< Cell that is being asked; empty if none.
         InstanceName leader; ///< Instance that is being asked; empty if this one.
         bool isAsking = false; ///< Whether an answer is awaited.
+        bool wasOffered = false; ///< Whether a leader that is gone may have run it: only the cell's next leader may get it.
         bool isReadingId = false; ///< Whether the store is being asked which cell has the job.
         TimePoint deadline; ///< When to answer at the latest.
         TimePoint retryAt; ///< When to try again.
@@ -111,6 +112,7 @@
     /** A cell that this instance leads or is about to lead. */
     struct LedCell {
         std::unique_ptr<CellLeader> leader; ///< Its leader.
+        bool isKnown = false; ///< Whether the others were told that it leads.
         std::uint64_t generation = 0; ///< Tells answers for an earlier leader of the same cell apart.
     };
 
@@ -118,6 +120,9 @@
     void offer(CallId call, PendingCall &pending);
     void withdraw(CallId call, const PendingCall &pending);
     void askLeader(CallId call, PendingCall &pending);
+    void offerAgain(CallId call, PendingCall &pending);
+    void noteMoved(PendingCall &pending);
+    void moveCallsFrom(const CellName &cell, const InstanceName &formerLeader);
     void readId(CallId call, const JobId &id);
     void onSubmitAnswer(CallId call, SubmitAnswer answer);
     void onJobAnswer(CallId call, JobAnswer answer);
--- a/src/node/node_cells.cpp
+++ b/src/node/node_cells.cpp
@@ -86,6 +86,10 @@
     }
     const std::uint64_t generation = found->second.generation;
     const CellName name = cell;
+    if (!found->second.isKnown && found->second.leader->isLeading()) {
+        found->second.isKnown = true;
+        this->isAdvertDue = true;
+    }
     std::vector<CellAction> actions = found->second.leader->takeActions();
     for (CellAction &action : actions) {
         this->runAction(name, generation, std::move(action));
@@ -284,6 +288,9 @@
     if (view.leader != from || view.isGone) {
         this->log("lead-known", {{"cell", advert.cell.value}, {"leader", from.value}, {"token", std::to_string(advert.token.value)}});
     }
+    if (view.leader != from) {
+        this->moveCallsFrom(advert.cell, view.leader);
+    }
     view.leader = from;
     view.token = advert.token;
     view.takesJobs = advert.takesJobs;
@@ -393,7 +400,7 @@
                    [&](LinkSubmit &submit) {
                        const auto own = this->led.find(submit.cell);
                        if (own == this->led.end()) {
-                           this->peers->reply(connection, encodeLinkMessage(LinkSubmitReply{submit.call, {SubmitVerdict::Refused, "not-leading", {}, {}}}));
+                           this->peers->reply(connection, encodeLinkMessage(LinkSubmitReply{submit.call, {SubmitVerdict::Refused, std::string(NotLeadingReason), {}, {}}}));
                            return;
                        }
                        const CallId call(++this->lastCall);
@@ -402,7 +409,7 @@
                        pending.origin = submit.call;
                        pending.connection = connection;
                        pending.cell = submit.cell;
-                       own->second.leader->submit(currentTime(), call, std::move(submit.id), std::move(submit.spec), std::move(submit.terms));
+                       own->second.leader->submit(currentTime(), call, std::move(submit.id), std::move(submit.spec), std::move(submit.terms), submit.wasOffered);
                        this->runActions(submit.cell);
                    },
                    [&](LinkJobAsk &ask) {
