Feeds notice a silent connection in time; a withdrawn job leaves the queue

A job that was withdrawn while it waited stayed in the queue, and the next look at the load followed a null pointer (code 139). Ruled out for the crash, by a backtrace in a trial: the WebSocket transport and recursion of failing calls.

--- a/src/cells/cell_dispatch.cpp
+++ b/src/cells/cell_dispatch.cpp
@@ -39,11 +39,16 @@
     return this->phase == Phase::Leading && !this->batch.releases && now < this->chain.confirmedAt() + FormerLeaderLimit;
 }
 
-void CellLeader::queueJob(const CellJob &job)
+CellLeader::JobRank CellLeader::rankOf(const CellJob &job)
 {
     const auto ideal = std::chrono::duration<double, std::nano>(job.estimatedChain()) * job.terms.stretch;
     const TimePoint objective = job.acceptedAt + std::chrono::duration_cast<Duration>(ideal) + job.terms.targetDuration;
-    this->ready.emplace(objective, job.id);
+    return {objective, job.id};
+}
+
+void CellLeader::queueJob(const CellJob &job)
+{
+    this->ready.insert(rankOf(job));
 }
 
 void CellLeader::pump(TimePoint now)
@@ -54,10 +59,11 @@
     int misses = 0;
     for (auto entry = this->ready.begin(); entry != this->ready.end() && misses < MaxMisses;) {
         const std::shared_ptr<CellJob> job = this->findJob(entry->second);
-        if (job && !this->startWaiting(now, *job)) {
+        if (!this->startWaiting(now, *job)) {
             ++misses;
         }
-        entry = (!job || job->waiting().empty()) ? this->ready.erase(entry) : std::next(entry);
+        assert(job);
+        entry = job->waiting().empty() ? this->ready.erase(entry) : std::next(entry);
     }
 }
 
--- a/src/cells/cell_leader.cpp
+++ b/src/cells/cell_leader.cpp
@@ -167,6 +167,7 @@
         this->bestEffortCalls.erase(call);
     }
     this->logEnd(now, *job);
+    this->ready.erase(rankOf(*job));
     this->jobs.erase(job->id);
 }
 
@@ -642,6 +643,7 @@
         }
         this->cancelCalls.erase(calls);
     }
+    this->ready.erase(rankOf(*job));
     this->jobs.erase(id);
 }
 
--- a/src/cells/cell_leader.h
+++ b/src/cells/cell_leader.h
@@ -157,6 +157,7 @@
     void pump(TimePoint now);
     bool startWaiting(TimePoint now, CellJob &job);
     void startRun(TimePoint now, CellJob &job, const TaskRef &task, CellEndpoint &endpoint);
+    static JobRank rankOf(const CellJob &job);
     void queueJob(const CellJob &job);
     void holdEndpoints(TimePoint now);
     void sendHold(TimePoint now, CellEndpoint &endpoint);
--- a/src/cells/tests/leader_test.cpp
+++ b/src/cells/tests/leader_test.cpp
@@ -206,6 +206,20 @@
     BOOST_TEST(this->world.endpoints[0].runs.size() + this->world.endpoints[1].runs.size() == 0U);
 }
 
+BOOST_FIXTURE_TEST_CASE(WithdrawnJobThatStillWaitsIsNoLoad, OneLeader)
+{
+    this->world.workTime = 10s;
+    this->world.submit(this->leader, Job, 4, true);
+    const CallId call = this->world.submit(this->leader, JobId("00000000000000a2"), 4, true);
+    this->world.pass(100ms);
+    for (WorldEndpoint &endpoint : this->world.endpoints) {
+        endpoint.isReachable = false; // Nothing can be started, so nothing is looked at again.
+    }
+    BOOST_TEST(this->world.leaders[0].leader->load().waitingWork > 0);
+    this->world.leaders[0].leader->withdraw(this->world.now, call);
+    BOOST_TEST(this->world.leaders[0].leader->load().waitingWork == 0);
+}
+
 BOOST_FIXTURE_TEST_CASE(NewLeaderStopsRunsOfBestEffortJobs, OneLeader)
 {
     this->world.workTime = 10s;
--- a/src/node/link_message.cpp
+++ b/src/node/link_message.cpp
@@ -39,7 +39,7 @@
     for (const CellAdvert &advert : message.cells) {
         cells.push_back(toJson(advert));
     }
-    return Json::array({message.isLeaving, std::move(cells)});
+    return Json::array({message.isLeaving, message.configVersion, std::move(cells)});
 }
 
 Json toJson(const LinkSubmit &message)
@@ -96,7 +96,8 @@
 {
     LinkAdvert message;
     message.isLeaving = json.at(0).get<bool>();
-    for (const Json &cell : json.at(1)) {
+    message.configVersion = json.at(1).get<std::uint64_t>();
+    for (const Json &cell : json.at(2)) {
         message.cells.push_back(advertFromJson(cell));
     }
     return message;
--- a/src/node/link_message.h
+++ b/src/node/link_message.h
@@ -26,6 +26,7 @@
 /** What the sender leads; sent when that changes and regularly. */
 struct LinkAdvert {
     bool isLeaving = false; ///< Whether the sender is shutting down.
+    std::uint64_t configVersion = 0; ///< Configuration that the sender has in force.
     std::vector<CellAdvert> cells; ///< All cells that it leads.
 };
 
--- a/src/node/node_cells.cpp
+++ b/src/node/node_cells.cpp
@@ -261,6 +261,7 @@
     this->nextAdvertAt = now + AdvertInterval;
     LinkAdvert message;
     message.isLeaving = this->isLeaving;
+    message.configVersion = this->fleetConfig.version;
     for (auto &[cell, entry] : this->led) {
         if (!entry.leader->isLeading() || entry.leader->isReleasing()) {
             continue;
@@ -385,6 +386,9 @@
                            return;
                        }
                        const InstanceName from = asker->second;
+                       if (advert.configVersion > this->fleetConfig.version) {
+                           this->ports.rereadConfig();
+                       }
                        if (const auto member = this->members.find(from); member != this->members.end()) {
                            member->second.isLeaving = advert.isLeaving;
                        }
--- a/src/node/node_ports.h
+++ b/src/node/node_ports.h
@@ -15,6 +15,7 @@
     std::function<void(const StartRun &, std::function<void(StartResult)>)> startRun; ///< Start a run.
     std::function<void(const StopRun &, std::function<void(StopResult)>)> stopRun; ///< Stop a run.
     std::function<void(const HoldEndpoint &, std::function<void(HoldResult)>)> hold; ///< Hold an endpoint.
+    std::function<void()> rereadConfig; ///< Read the configuration anew: another instance has a newer one in force.
     std::function<void(CallId, SubmitAnswer)> answerSubmission; ///< Answer a caller's submission.
     std::function<void(CallId, JobAnswer)> answerJob; ///< Answer a caller's question or cancelling.
     std::function<void(const LogDecision &)> log; ///< Write a line to the log.
--- a/src/node/table_follower.cpp
+++ b/src/node/table_follower.cpp
@@ -11,6 +11,8 @@
 constexpr Duration FirstPause = std::chrono::milliseconds(50); // A refused call says that nothing was done; ask again soon.
 constexpr Duration LongestPause = std::chrono::milliseconds(400); // A change has to be in force 2 s after the store is back.
 
+constexpr Duration RestartInterval = std::chrono::milliseconds(400); // A read takes 10 ms, or 250 ms when the store is slow.
+
 } // namespace
 
 TableFollower::TableFollower(TableFollowerOptions followerOptions, const NodePorts &nodePorts, TableHandler changeHandler)
@@ -43,7 +45,10 @@
 
 void TableFollower::readPage(std::string from)
 {
-    this->ports.read({this->options.table, "", std::move(from), 0}, [this](const ReadResult &result) {
+    this->ports.read({this->options.table, "", std::move(from), 0}, [this, asked = this->generation](const ReadResult &result) {
+        if (asked != this->generation) {
+            return;
+        }
         if (!result.isAnswered) {
             this->onFailed(result, true);
             return;
@@ -68,7 +73,10 @@
 
 void TableFollower::follow()
 {
-    this->ports.follow(this->options.table, this->version, this->options.wait, [this](const ReadResult &result) {
+    this->ports.follow(this->options.table, this->version, this->options.wait, [this, asked = this->generation](const ReadResult &result) {
+        if (asked != this->generation) {
+            return;
+        }
         if (!result.isAnswered) {
             this->onFailed(result, result.historyLost);
             return;
@@ -99,6 +107,17 @@
     this->retryAt = currentTime() + delay;
 }
 
+void TableFollower::restart(TimePoint now)
+{
+    if (now < this->restartedAt + RestartInterval) {
+        return;
+    }
+    this->restartedAt = now;
+    ++this->generation;
+    this->isWaiting = false;
+    this->start();
+}
+
 void TableFollower::setPause(Duration length)
 {
     this->options.pause = length;
--- a/src/node/table_follower.h
+++ b/src/node/table_follower.h
@@ -12,7 +12,7 @@
     std::string table; ///< The table.
     std::string from; ///< First key that matters; empty for all.
     Duration pause{}; ///< Between two calls, so that frequent changes come in batches.
-    Duration wait = std::chrono::seconds(10); ///< Longest wait for a change; well under the platform's 30 s.
+    Duration wait = std::chrono::seconds(1); ///< Longest wait for a change.
 };
 
 /** Called with all rows, by key, whenever one has changed. */
@@ -30,6 +30,9 @@
     /** Begin to read. */
     void start();
 
+    /** Read the table anew, unless that was done a moment ago: a call in flight may hang. */
+    void restart(TimePoint now);
+
     /** Set the pause between two calls. */
     void setPause(Duration length);
 
@@ -54,6 +57,8 @@
     bool isWaiting = false; ///< Whether to try again at `retryAt`.
     TimePoint retryAt; ///< When.
     Duration pause{}; ///< Length of the last pause.
+    TimePoint restartedAt; ///< When restart() had an effect last.
+    std::uint64_t generation = 0; ///< Tells answers to calls that were given up apart.
 };
 
 } // namespace Tanagertally::Cells
