--- a/src/caller/caller_handler.h
+++ b/src/caller/caller_handler.h
@@ -1,11 +1,11 @@
 /** Routes callers' requests: what each path and method means. */
 #pragma once
 
-#include "controllers/event_queue.h"
 #include "caller/bearer_auth.h"
 #include "caller/http_handler.h"
 #include "caller/readiness.h"
 #include "caller/url_func.h"
+#include "controllers/event_queue.h"
 #include "core/verdict_type.h"
 
 #include <optional>
--- a/src/cells/cell_action.h
+++ b/src/cells/cell_action.h
@@ -82,7 +82,8 @@
     bool isWarning = false; ///< Whether somebody should look at it.
 };
 
-using CellAction = std::variant<CommitRows, ReadLead, ReadCell, StartRun, StopRun, HoldEndpoint, AnswerSubmission, AnswerCancel, LeadEnded, LogDecision>;
+using CellAction
+    = std::variant<CommitRows, ReadLead, ReadCell, StartRun, StopRun, HoldEndpoint, AnswerSubmission, AnswerCancel, LeadEnded, LogDecision>;
 
 /** How an order to start a run ended. */
 struct StartResult {
--- a/src/cells/cell_dispatch.cpp
+++ b/src/cells/cell_dispatch.cpp
@@ -79,13 +79,12 @@
         for (const auto &[name, endpoint] : this->endpoints) {
             const EndpointRecord &record = endpoint->record;
             const bool takesWork = endpoint->isRegistered && !record.isDraining && endpoint->isListed && endpoint->isRostered
-                && now >= endpoint->avoidUntil && endpoint->failuresInRow == 0;
+                                   && now >= endpoint->avoidUntil && endpoint->failuresInRow == 0;
             if (!takesWork || record.service != job.terms.service || !endpoint->isClockKnown()) {
                 continue;
             }
-            const auto sameStep = std::ranges::count_if(endpoint->runs, [&task](const auto &run) {
-                return run.first.job == task.job && run.first.step == task.step;
-            });
+            const auto sameStep = std::ranges::count_if(
+                endpoint->runs, [&task](const auto &run) { return run.first.job == task.job && run.first.step == task.step; });
             candidates.push_back({endpoint.get(), static_cast<std::uint32_t>(sameStep), 1});
         }
         const std::optional<std::size_t> choice = chooseEndpoint(candidates, step, job.task(task).lastEndpoint);
@@ -118,8 +117,8 @@
     run.orderedAt = now;
     run.startDeadlineMs = endpoint.probableClockMs(now) + toMs(StartValidity);
     endpoint.noteGrant(run.startDeadlineMs);
-    this->actions.emplace_back(StartRun{endpoint.record.name, endpoint.record.address, task, run.run, job.spec.payload, run.startDeadlineMs,
-                                        this->chain.token()});
+    this->actions.emplace_back(
+        StartRun{endpoint.record.name, endpoint.record.address, task, run.run, job.spec.payload, run.startDeadlineMs, this->chain.token()});
     this->log("task-start", {{"job", task.job.value},
                              {"task", toText(task)},
                              {"run", std::to_string(run.run.value)},
@@ -412,7 +411,9 @@
         return;
     }
     if (runPhase == RunPhase::Running || runPhase == RunPhase::Doubtful) {
-        this->log("run-lost", {{"job", ref.job.value}, {"task", toText(ref)}, {"endpoint", endpoint.record.name.value}, {"reason", std::string(reason)}});
+        this->log(
+            "run-lost",
+            {{"job", ref.job.value}, {"task", toText(ref)}, {"endpoint", endpoint.record.name.value}, {"reason", std::string(reason)}});
     }
     --job->placedTasks;
     if (isFinal(job->state)) {
@@ -427,7 +428,10 @@
 void CellLeader::loseEndpoint(TimePoint now, CellEndpoint &endpoint, std::string_view reason)
 {
     if (!endpoint.runs.empty()) {
-        this->log("endpoint-lost", {{"endpoint", endpoint.record.name.value}, {"runs", std::to_string(endpoint.runs.size())}, {"reason", std::string(reason)}}, true);
+        this->log(
+            "endpoint-lost",
+            {{"endpoint", endpoint.record.name.value}, {"runs", std::to_string(endpoint.runs.size())}, {"reason", std::string(reason)}},
+            true);
     }
     std::vector<TaskRef> tasks;
     for (const auto &[task, run] : endpoint.runs) {
@@ -483,7 +487,8 @@
 
 void CellLeader::sendHold(TimePoint now, CellEndpoint &endpoint)
 {
-    HoldEndpoint hold{endpoint.record.name, endpoint.record.address, this->chain.token(), std::nullopt, endpoint.acknowledgable(), Duration{}};
+    HoldEndpoint hold{endpoint.record.name, endpoint.record.address,   this->chain.token(),
+                      std::nullopt,         endpoint.acknowledgable(), Duration{}};
     // An endpoint that doesn't answer gets no longer lease, or its runs could never be given up.
     if (endpoint.isClockKnown() && !endpoint.runs.empty() && endpoint.failuresInRow == 0) {
         hold.deadlineMs = endpoint.probableClockMs(now) + toMs(this->options.lease.longest);
--- a/src/cells/cell_leader.cpp
+++ b/src/cells/cell_leader.cpp
@@ -116,7 +116,8 @@
     job.restore({});
     for (auto &[name, endpoint] : this->endpoints) {
         for (auto &[task, run] : endpoint->runs) {
-            if (task.job == job.id && job.hasTask(task) && run.phase == RunPhase::Running && job.task(task).phase == TaskPhase::Unaccounted) {
+            if (task.job == job.id && job.hasTask(task) && run.phase == RunPhase::Running
+                && job.task(task).phase == TaskPhase::Unaccounted) {
                 endpoint->setDemand(task, job.step(task).demand);
                 job.task(task).phase = TaskPhase::Placed;
                 ++job.placedTasks;
@@ -302,7 +303,8 @@
         const std::shared_ptr<CellJob> job = this->findJob(id);
         for (const TaskRef &task : job->waiting()) {
             const StepSpec &step = job->step(task);
-            load.waitingWork += std::chrono::duration<double, std::milli>(step.estimate).count() * static_cast<double>(step.demand.cpu) / 1000;
+            load.waitingWork
+                += std::chrono::duration<double, std::milli>(step.estimate).count() * static_cast<double>(step.demand.cpu) / 1000;
         }
     }
     return load;
--- a/src/cells/cell_type.h
+++ b/src/cells/cell_type.h
@@ -75,4 +75,3 @@
         return Tanagertally::stableHash(task.job.value, (std::uint64_t(task.step) << 32) | task.index);
     }
 };
-
--- a/src/cells/job_cbor.cpp
+++ b/src/cells/job_cbor.cpp
@@ -56,7 +56,8 @@
 
 Json termsToJson(const JobTerms &terms)
 {
-    return Json::array({terms.queue.value, terms.service.value, terms.priority, terms.maxAttempts, terms.stretch, toMs(terms.targetDuration)});
+    return Json::array(
+        {terms.queue.value, terms.service.value, terms.priority, terms.maxAttempts, terms.stretch, toMs(terms.targetDuration)});
 }
 
 JobTerms termsFromJson(const Json &json)
--- a/src/cells/store_rows.cpp
+++ b/src/cells/store_rows.cpp
@@ -117,7 +117,8 @@
             progress.done.push_back({task.at(0).get<std::uint32_t>(), task.at(1).get<std::uint32_t>()});
         }
         for (const Json &task : json.at(2)) {
-            progress.failures.push_back({task.at(0).get<std::uint32_t>(), task.at(1).get<std::uint32_t>(), task.at(2).get<std::uint32_t>()});
+            progress.failures.push_back(
+                {task.at(0).get<std::uint32_t>(), task.at(1).get<std::uint32_t>(), task.at(2).get<std::uint32_t>()});
         }
         return progress;
     });
@@ -152,9 +153,12 @@
 Result<InstanceRecord> decodeInstance(std::string_view value)
 {
     return decodeRow(value, "instance", [](const Json &json) {
-        return InstanceRecord{InstanceName(json.at(0).get<std::string>()), Incarnation(json.at(1).get<std::uint64_t>()),
-                              NetAddress(json.at(2).get<std::string>()), FailureDomain(json.at(3).get<std::string>()),
-                              json.at(4).get<double>(), json.at(5).get<bool>()};
+        return InstanceRecord{InstanceName(json.at(0).get<std::string>()),
+                              Incarnation(json.at(1).get<std::uint64_t>()),
+                              NetAddress(json.at(2).get<std::string>()),
+                              FailureDomain(json.at(3).get<std::string>()),
+                              json.at(4).get<double>(),
+                              json.at(5).get<bool>()};
     });
 }
 
--- a/src/cells/tests/cell_world.cpp
+++ b/src/cells/tests/cell_world.cpp
@@ -81,6 +81,7 @@
         for (WorldEndpoint &endpoint : this->endpoints) {
             this->advanceEndpoint(endpoint);
         }
+        this->onTick();
         for (std::size_t leader = 0; leader < this->leaders.size(); ++leader) {
             if (this->leaders[leader].isUp && !this->leaders[leader].isFrozen) {
                 this->leaders[leader].leader->advance(this->now);
@@ -91,7 +92,8 @@
     return holds();
 }
 
-CallId CellWorld::submit(std::size_t leader, const JobId &id, std::uint32_t count, bool isBestEffort, std::uint32_t maxAttempts, bool wasOffered)
+CallId CellWorld::submit(std::size_t leader, const JobId &id, std::uint32_t count, bool isBestEffort, std::uint32_t maxAttempts,
+                         bool wasOffered)
 {
     StepSpec step;
     step.count = count;
@@ -209,25 +211,30 @@
             ReadResult(), ReadResult(), [this, leader](const ReadResult &result) { leader().onLeadRead(this->now, result); });
     } else if (auto *cell = std::get_if<ReadCell>(&action)) {
         this->call(
-            index, CallFate::Answered, StoreDelay, [this, name = cell->cell] { return this->readContent(name); }, CellContent(), CellContent(),
-            [this, leader](const CellContent &content) { leader().onRecovered(this->now, content); });
+            index, CallFate::Answered, StoreDelay, [this, name = cell->cell] { return this->readContent(name); }, CellContent(),
+            CellContent(), [this, leader](const CellContent &content) { leader().onRecovered(this->now, content); });
     } else if (auto *start = std::get_if<StartRun>(&action)) {
         const bool reaches = this->find(start->endpoint)->isReachable;
         this->call(
             index, reaches ? this->orderFate() : CallFate::Lost, OrderDelay, [this, order = *start] { return this->start(order); },
             StartResult{StartResult::Kind::Unhealthy, ""}, StartResult(),
-            [this, leader, order = *start](const StartResult &result) { leader().onStarted(this->now, order.endpoint, order.task, order.run, result); });
+            [this, leader, order = *start](const StartResult &result) {
+                leader().onStarted(this->now, order.endpoint, order.task, order.run, result);
+            });
     } else if (auto *stop = std::get_if<StopRun>(&action)) {
         const bool reaches = this->find(stop->endpoint)->isReachable;
         this->call(
             index, reaches ? this->orderFate() : CallFate::Lost, OrderDelay, [this, order = *stop] { return this->stop(order); },
             StopResult::Unknown, StopResult::Unknown,
-            [this, leader, order = *stop](StopResult result) { leader().onStopped(this->now, order.endpoint, order.task, order.run, result); });
+            [this, leader, order = *stop](StopResult result) {
+                leader().onStopped(this->now, order.endpoint, order.task, order.run, result);
+            });
     } else if (auto *hold = std::get_if<HoldEndpoint>(&action)) {
         const bool reaches = this->find(hold->endpoint)->isReachable;
         this->call(
-            index, reaches ? this->orderFate() : CallFate::Lost, OrderDelay + hold->wait / 20, [this, order = *hold] { return this->hold(order); },
-            HoldResult(), HoldResult(), [this, leader, name = hold->endpoint](const HoldResult &result) { leader().onHeld(this->now, name, result); });
+            index, reaches ? this->orderFate() : CallFate::Lost, OrderDelay + hold->wait / 20,
+            [this, order = *hold] { return this->hold(order); }, HoldResult(), HoldResult(),
+            [this, leader, name = hold->endpoint](const HoldResult &result) { leader().onHeld(this->now, name, result); });
     } else if (auto *submitted = std::get_if<AnswerSubmission>(&action)) {
         this->leaders[index].submitAnswers[submitted->call] = submitted->answer;
     } else if (auto *cancelled = std::get_if<AnswerCancel>(&action)) {
--- a/src/cells/tests/cell_world.h
+++ b/src/cells/tests/cell_world.h
@@ -109,20 +109,32 @@
     /** @return Number of runs that started, of one task. */
     std::size_t startsOf(const TaskRef &task) const;
 
-private:
-    using Handler = std::function<void()>;
+    /** Do something later. */
+    void at(TimePoint time, std::function<void()> handler);
 
-    void at(TimePoint time, Handler handler);
-    void runActions(std::size_t leader);
-    void deliver(std::size_t leader, Handler handler);
-    void carryOut(std::size_t leader, CellAction &action);
+    /** Carry out a transaction now. */
     TransactionResult apply(const StoreTransaction &transaction);
+
+    /** Read rows now. */
     ReadResult readRange(const std::string &table, const std::string &part, const std::string &from);
-    CellContent readContent(const CellName &cell);
+
+    /** Carry out orders now. */
     StartResult start(const StartRun &order);
     StopResult stop(const StopRun &order);
     HoldResult hold(const HoldEndpoint &order);
+
+    /** @return An endpoint. */
     WorldEndpoint *find(const EndpointName &name);
+
+    std::function<void()> onTick = [] {}; ///< Called every 10 ms.
+
+private:
+    using Handler = std::function<void()>;
+
+    void runActions(std::size_t leader);
+    void deliver(std::size_t leader, Handler handler);
+    void carryOut(std::size_t leader, CellAction &action);
+    CellContent readContent(const CellName &cell);
     std::int64_t clockOf(const WorldEndpoint &endpoint) const;
     void advanceEndpoint(WorldEndpoint &endpoint);
     void endRun(WorldEndpoint &endpoint, std::size_t index, RunEnd end);
--- a/src/node/cell_directory.cpp
+++ b/src/node/cell_directory.cpp
@@ -25,7 +25,8 @@
         if (name != home) {
             waitMs += OtherDomainPenaltyMs;
         }
-        const bool hasRack = demand.affinity.empty() || std::ranges::find(view.load.labels, demand.affinity.value) != view.load.labels.end();
+        const bool hasRack
+            = demand.affinity.empty() || std::ranges::find(view.load.labels, demand.affinity.value) != view.load.labels.end();
         if (!hasRack) {
             waitMs += OtherRackFactor * demand.work / capacity + OtherDomainPenaltyMs;
         }
--- a/src/node/link_message.cpp
+++ b/src/node/link_message.cpp
@@ -105,8 +105,12 @@
 
 LinkMessage submitFromJson(const Json &json)
 {
-    return LinkSubmit{CallId(json.at(0).get<std::uint64_t>()), CellName(json.at(1).get<std::string>()), JobId(json.at(2).get<std::string>()),
-                      specFromJson(json.at(3)), termsFromJson(json.at(4)), json.at(5).get<bool>()};
+    return LinkSubmit{CallId(json.at(0).get<std::uint64_t>()),
+                      CellName(json.at(1).get<std::string>()),
+                      JobId(json.at(2).get<std::string>()),
+                      specFromJson(json.at(3)),
+                      termsFromJson(json.at(4)),
+                      json.at(5).get<bool>()};
 }
 
 LinkMessage submitReplyFromJson(const Json &json)
@@ -124,8 +128,8 @@
 
 LinkMessage jobAskFromJson(const Json &json)
 {
-    return LinkJobAsk{CallId(json.at(0).get<std::uint64_t>()), CellName(json.at(1).get<std::string>()), JobId(json.at(2).get<std::string>()),
-                      static_cast<JobQuestion>(json.at(3).get<int>())};
+    return LinkJobAsk{CallId(json.at(0).get<std::uint64_t>()), CellName(json.at(1).get<std::string>()),
+                      JobId(json.at(2).get<std::string>()), static_cast<JobQuestion>(json.at(3).get<int>())};
 }
 
 LinkMessage jobReplyFromJson(const Json &json)
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -1,7 +1,6 @@
 #include "node/node.h"
 
 #include <algorithm>
-#include <ctime>
 
 namespace Tanagertally::Cells {
 
@@ -14,17 +13,10 @@
 
 } // namespace
 
-TimePoint currentTime()
-{
-    timespec time{};
-    clock_gettime(CLOCK_BOOTTIME, &time);
-    return TimePoint(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
-}
-
 Node::Node(NodeOptions nodeOptions, NodePorts nodePorts)
     : options(std::move(nodeOptions))
     , ports(std::move(nodePorts))
-    , startedAt(currentTime())
+    , startedAt(this->ports.now())
 {
     for (const FailureDomain &domain : this->options.domains) {
         this->cells[CellName(domain.value)].vacantSince = this->startedAt;
@@ -36,7 +28,9 @@
     if (config.version <= this->fleetConfig.version) {
         return false;
     }
-    this->log("config", {{"version", std::to_string(config.version)}, {"former", std::to_string(this->fleetConfig.version)}, {"queues", std::to_string(config.queues.size())}});
+    this->log("config", {{"version", std::to_string(config.version)},
+                         {"former", std::to_string(this->fleetConfig.version)},
+                         {"queues", std::to_string(config.queues.size())}});
     this->fleetConfig = std::move(config);
     return true;
 }
@@ -72,9 +66,8 @@
 
 void Node::forget(CallId call)
 {
-    const auto found = std::ranges::find_if(this->calls, [call](const auto &entry) {
-        return entry.second.connection == 0 && entry.second.origin == call;
-    });
+    const auto found = std::ranges::find_if(
+        this->calls, [call](const auto &entry) { return entry.second.connection == 0 && entry.second.origin == call; });
     if (found == this->calls.end()) {
         return;
     }
@@ -90,11 +83,11 @@
 {
     this->log("submission-withdrawn", {{"job", pending.id.value}, {"cell", pending.cell.value}});
     if (!pending.leader.empty()) {
-        this->peers->send(pending.leader, encodeLinkMessage(LinkWithdraw{call, pending.cell}));
+        this->links.send(pending.leader, encodeLinkMessage(LinkWithdraw{call, pending.cell}));
         return;
     }
     if (const auto led = this->led.find(pending.cell); led != this->led.end()) {
-        led->second.leader->withdraw(currentTime(), call);
+        led->second.leader->withdraw(this->ports.now(), call);
         this->runActions(pending.cell);
     }
 }
@@ -104,7 +97,8 @@
     const auto &[spec, terms] = *pending.job;
     CellDemand demand;
     for (const StepSpec &step : spec.steps) {
-        demand.work += std::chrono::duration<double, std::milli>(step.estimate).count() * static_cast<double>(step.demand.cpu) * step.count / 1000;
+        demand.work
+            += std::chrono::duration<double, std::milli>(step.estimate).count() * static_cast<double>(step.demand.cpu) * step.count / 1000;
         if (demand.affinity.empty()) {
             demand.affinity = step.affinity;
         }
@@ -121,18 +115,19 @@
         const auto own = this->led.find(cell);
         if (own != this->led.end()) {
             pending.leader = InstanceName();
-            own->second.leader->submit(currentTime(), call, pending.id, spec, terms);
+            own->second.leader->submit(this->ports.now(), call, pending.id, spec, terms);
             this->runActions(cell);
             return;
         }
-        if (this->peers->send(view.leader, encodeLinkMessage(LinkSubmit{call, cell, pending.id, spec, terms}))) {
+        if (this->links.send(view.leader, encodeLinkMessage(LinkSubmit{call, cell, pending.id, spec, terms}))) {
             return;
         }
         pending.isAsking = false;
         pending.triedCells.push_back(cell);
     }
     pending.cell = CellName();
-    this->onSubmitAnswer(call, {SubmitVerdict::Refused, pending.triedCells.empty() ? "no-leader" : "no-cell-takes-it", NoCellRetryAfter, {}});
+    this->onSubmitAnswer(call,
+                         {SubmitVerdict::Refused, pending.triedCells.empty() ? "no-leader" : "no-cell-takes-it", NoCellRetryAfter, {}});
 }
 
 void Node::offerAgain(CallId call, PendingCall &pending)
@@ -144,14 +139,14 @@
         pending.isAsking = true;
         pending.leader = InstanceName();
         const CellName cell = pending.cell;
-        own->second.leader->submit(currentTime(), call, pending.id, spec, terms, true);
+        own->second.leader->submit(this->ports.now(), call, pending.id, spec, terms, true);
         this->runActions(cell);
         return;
     }
     const bool isSent = !view.leader.empty() && !view.isGone && view.takesJobs && view.leader != this->options.self.name
-        && this->peers->send(view.leader, encodeLinkMessage(LinkSubmit{call, pending.cell, pending.id, spec, terms, true}));
+                        && this->links.send(view.leader, encodeLinkMessage(LinkSubmit{call, pending.cell, pending.id, spec, terms, true}));
     if (!isSent) {
-        pending.retryAt = currentTime() + MovedRetry;
+        pending.retryAt = this->ports.now() + MovedRetry;
         return;
     }
     pending.isAsking = true;
@@ -162,7 +157,7 @@
 {
     pending.isAsking = false;
     pending.wasOffered = true;
-    pending.retryAt = currentTime();
+    pending.retryAt = this->ports.now();
 }
 
 void Node::moveCallsFrom(const CellName &cell, const InstanceName &formerLeader)
@@ -182,7 +177,7 @@
     }
     PendingCall &pending = found->second;
     if (pending.kind == PendingCall::Kind::RemoteSubmission) {
-        this->peers->reply(pending.connection, encodeLinkMessage(LinkSubmitReply{pending.origin, std::move(answer)}));
+        this->links.reply(pending.connection, encodeLinkMessage(LinkSubmitReply{pending.origin, std::move(answer)}));
         this->calls.erase(found);
         return;
     }
@@ -193,9 +188,13 @@
         pending.retryAt += MovedRetry;
         return;
     }
+    if (answer.verdict == SubmitVerdict::Refused && pending.wasOffered) {
+        // A leader that is gone may have run it, so this refusal says nothing of the job.
+        answer = {SubmitVerdict::Unknown, "a former leader may have run it", {}, {}};
+    }
     const bool isElsewhere = answer.verdict == SubmitVerdict::Refused && !pending.cell.empty()
-        && (answer.reason == NotLeadingReason || answer.reason == NoEndpointReason);
-    if (isElsewhere && currentTime() < pending.deadline) {
+                             && (answer.reason == NotLeadingReason || answer.reason == NoEndpointReason);
+    if (isElsewhere && this->ports.now() < pending.deadline) {
         pending.triedCells.push_back(pending.cell);
         this->offer(call, pending);
         return;
@@ -237,17 +236,17 @@
         pending.isAsking = true;
         pending.leader = InstanceName();
         const CellName name = pending.cell;
-        own->second.leader->cancel(currentTime(), call, pending.id);
+        own->second.leader->cancel(this->ports.now(), call, pending.id);
         this->runActions(name);
         return;
     }
     const InstanceName &leader = cell->second.leader;
     const bool isSent = !leader.empty() && leader != this->options.self.name && !cell->second.isGone
-        && this->peers->send(leader, encodeLinkMessage(LinkJobAsk{call, pending.cell, pending.id, pending.question}));
+                        && this->links.send(leader, encodeLinkMessage(LinkJobAsk{call, pending.cell, pending.id, pending.question}));
     pending.isAsking = isSent;
     pending.leader = leader;
     if (!isSent) {
-        pending.retryAt = currentTime() + CallRetry;
+        pending.retryAt = this->ports.now() + CallRetry;
     }
 }
 
@@ -262,7 +261,7 @@
         PendingCall &pending = found->second;
         pending.isReadingId = false;
         if (!result.isAnswered) {
-            pending.retryAt = currentTime() + CallRetry;
+            pending.retryAt = this->ports.now() + CallRetry;
             return;
         }
         const auto row = std::ranges::find(result.rows, key, &Row::key);
@@ -284,12 +283,12 @@
     }
     PendingCall &pending = found->second;
     if (pending.kind == PendingCall::Kind::RemoteQuestion) {
-        this->peers->reply(pending.connection, encodeLinkMessage(LinkJobReply{pending.origin, answer}));
+        this->links.reply(pending.connection, encodeLinkMessage(LinkJobReply{pending.origin, answer}));
         this->calls.erase(found);
         return;
     }
     pending.isAsking = false;
-    const TimePoint now = currentTime();
+    const TimePoint now = this->ports.now();
     if (answer.kind == JobAnswer::Kind::Unknown && now < pending.deadline) {
         pending.retryAt = now + CallRetry;
         return;
@@ -367,7 +366,7 @@
             sum += count == ownLoad.pendingJobs.end() ? 0 : count->second;
             continue;
         }
-        if (view.leader.empty() || view.isGone || !this->peers->isLinked(view.leader)) {
+        if (view.leader.empty() || view.isGone || !this->links.isLinked(view.leader)) {
             return std::nullopt;
         }
         const auto count = load.pendingJobs.find(queue);
@@ -376,6 +375,11 @@
     return sum;
 }
 
+TimePoint Node::now() const
+{
+    return this->ports.now();
+}
+
 bool Node::leadsCells() const
 {
     return !this->led.empty();
@@ -388,7 +392,7 @@
     }
     return std::ranges::any_of(this->cells, [this](const auto &entry) {
         const CellView &view = entry.second;
-        const bool isReachable = view.leader == this->options.self.name || this->peers->isLinked(view.leader);
+        const bool isReachable = view.leader == this->options.self.name || this->links.isLinked(view.leader);
         return !view.leader.empty() && !view.isGone && isReachable;
     });
 }
@@ -400,8 +404,8 @@
 
 void Node::tick()
 {
-    const TimePoint now = currentTime();
-    this->peers->tick();
+    const TimePoint now = this->ports.now();
+    this->links.tick();
     while (!this->delayed.empty() && this->delayed.begin()->first <= now) {
         const auto due = this->delayed.extract(this->delayed.begin());
         due.mapped()();
@@ -426,7 +430,7 @@
 
 void Node::callLater(Duration delay, std::function<void()> task)
 {
-    this->delayed.emplace(currentTime() + delay, std::move(task));
+    this->delayed.emplace(this->ports.now() + delay, std::move(task));
 }
 
 void Node::log(std::string event, std::vector<std::pair<std::string, std::string>> fields, bool isWarning) const
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -4,7 +4,6 @@
 #include "node/cell_directory.h"
 #include "node/leadership.h"
 #include "node/node_ports.h"
-#include "node/peer_bus.h"
 
 #include <deque>
 #include <unordered_map>
@@ -19,23 +18,20 @@
     Duration callReserve = std::chrono::milliseconds(100); ///< A call is answered so long before its deadline, as unknown if need be.
 };
 
-/** Time of this process: goes on while the machine is suspended. */
-TimePoint currentTime();
-
 /**
  * One instance. All methods are called on one thread; none blocks.
  */
 class Node
 {
 public:
-    /** Make a node; connect its peer links next. */
+    /** Make a node; connect its links next. */
     Node(NodeOptions options, NodePorts ports);
 
-    /** Set the peer links, which have to outlive the node. @pre Called once, before tick(). */
-    void connect(PeerBus &peers);
+    /** Set the links to other instances. @pre Called once, before tick(). */
+    void connect(NodeLinks links);
 
-    /** @return What the peer links have to call. */
-    PeerBusHandlers peerHandlers();
+    /** @return What the links have to call. */
+    NodeLinkHandlers linkHandlers();
 
     /** @return First message on each peer link. */
     static std::string helloOf(const InstanceRecord &self);
@@ -64,6 +60,9 @@
     /** @return Whether this instance leads a cell, or is about to. */
     bool leadsCells() const;
 
+    /** @return The time as the node sees it. */
+    TimePoint now() const;
+
     /** @return Whether callers are welcome. */
     bool isReady() const;
 
@@ -87,7 +86,7 @@
         };
         Kind kind = Kind::Submission; ///< Which of them.
         CallId origin; ///< The caller's call, or the other instance's.
-        ConnectionHandle connection = 0; ///< Connection of the other instance.
+        LinkHandle connection = 0; ///< Connection of the other instance.
         JobId id; ///< The job.
         JobQuestion question = JobQuestion::State; ///< What is asked.
         std::shared_ptr<const std::pair<JobSpec, JobTerms>> job; ///< What is submitted.
@@ -133,7 +132,8 @@
     // node_cells.cpp: cells that this instance leads, and peers.
     void runActions(const CellName &cell);
     void runAction(const CellName &cell, std::uint64_t generation, CellAction &&action);
-    void readCell(const CellName &cell, std::uint64_t generation, std::shared_ptr<CellContent> content, std::size_t table, std::string from);
+    void readCell(const CellName &cell, std::uint64_t generation, std::shared_ptr<CellContent> content, std::size_t table,
+                  std::string from);
     template<typename Use>
     void withLeader(const CellName &cell, std::uint64_t generation, Use use);
     void planLeads(TimePoint now);
@@ -144,10 +144,10 @@
     void heartbeat(TimePoint now);
     void readMembers();
     void onMembersRead(const ReadResult &result);
-    void onAsked(ConnectionHandle connection, std::string_view bytes);
+    void onAsked(LinkHandle connection, std::string_view bytes);
     void onReplied(const InstanceName &peer, std::string_view bytes);
     void withdrawCall(CallId call);
-    void onAskerLost(ConnectionHandle connection);
+    void onAskerLost(LinkHandle connection);
     void onPeerLost(const InstanceName &peer, bool wasRefused);
     bool isMemberAlive(const Member &member, TimePoint now) const;
     std::vector<LeadCandidate> candidates(TimePoint now) const;
@@ -156,7 +156,7 @@
 
     NodeOptions options; ///< Set-up.
     NodePorts ports; ///< Adapters.
-    PeerBus *peers = nullptr; ///< Links to other instances.
+    NodeLinks links; ///< Links to other instances.
     LeadershipLimits limits; ///< When leaders count as lost.
     FleetConfig fleetConfig; ///< In force.
     std::vector<EndpointRecord> endpoints; ///< As the registry lists them.
@@ -169,7 +169,7 @@
     std::deque<JobId> rememberedJobs; ///< Keys of `cellOfJob`, oldest first.
     std::uint64_t lastCall = 0; ///< Last number given to a call.
     std::uint64_t lastGeneration = 0; ///< Last number given to a leader.
-    std::map<ConnectionHandle, InstanceName> askers; ///< Instances by the connections that they opened.
+    std::map<LinkHandle, InstanceName> askers; ///< Instances by the connections that they opened.
     TimePoint startedAt; ///< When the node was made.
     TimePoint nextHeartbeatAt; ///< When to write the instance's row again.
     TimePoint nextMemberReadAt; ///< When to read the instances' rows again.
--- a/src/node/node_cells.cpp
+++ b/src/node/node_cells.cpp
@@ -26,9 +26,9 @@
 
 } // namespace
 
-void Node::connect(PeerBus &peerLinks)
+void Node::connect(NodeLinks peerLinks)
 {
-    this->peers = &peerLinks;
+    this->links = std::move(peerLinks);
 }
 
 std::string Node::helloOf(const InstanceRecord &self)
@@ -36,17 +36,17 @@
     return encodeLinkMessage(LinkHello{self.name, self.incarnation});
 }
 
-PeerBusHandlers Node::peerHandlers()
+NodeLinkHandlers Node::linkHandlers()
 {
-    PeerBusHandlers handlers;
+    NodeLinkHandlers handlers;
     handlers.linked = [this](const InstanceName &peer) {
         this->log("peer-linked", {{"peer", peer.value}});
         this->isAdvertDue = true;
     };
     handlers.lost = [this](const InstanceName &peer, bool wasRefused) { this->onPeerLost(peer, wasRefused); };
     handlers.replied = [this](const InstanceName &peer, const std::string &bytes) { this->onReplied(peer, bytes); };
-    handlers.asked = [this](ConnectionHandle connection, const std::string &bytes) { this->onAsked(connection, bytes); };
-    handlers.askerLost = [this](ConnectionHandle connection) { this->onAskerLost(connection); };
+    handlers.asked = [this](LinkHandle connection, const std::string &bytes) { this->onAsked(connection, bytes); };
+    handlers.askerLost = [this](LinkHandle connection) { this->onAskerLost(connection); };
     return handlers;
 }
 
@@ -62,7 +62,7 @@
         std::vector<EndpointRecord> own;
         std::ranges::copy_if(this->endpoints, std::back_inserter(own),
                              [&cell](const EndpointRecord &record) { return record.domain.value == cell.value; });
-        this->led.at(cell).leader->setEndpoints(currentTime(), own);
+        this->led.at(cell).leader->setEndpoints(this->ports.now(), own);
         this->runActions(cell);
     }
 }
@@ -98,94 +98,104 @@
 
 void Node::runAction(const CellName &cell, std::uint64_t generation, CellAction &&action)
 {
-    std::visit(Overloaded{
-                   [&](CommitRows &commit) {
-                       this->ports.commit(std::move(commit.transaction), [this, cell, generation](TransactionResult result) {
-                           this->withLeader(cell, generation, [&](CellLeader &leader) { leader.onCommitted(currentTime(), std::move(result)); });
-                       });
-                   },
-                   [&](ReadLead &read) {
-                       this->ports.read({read.key.table, read.key.part, read.key.key, 1}, [this, cell, generation](const ReadResult &result) {
-                           this->withLeader(cell, generation, [&](CellLeader &leader) { leader.onLeadRead(currentTime(), result); });
-                       });
-                   },
-                   [&](ReadCell &) { this->readCell(cell, generation, std::make_shared<CellContent>(), 0, {}); },
-                   [&](StartRun &start) {
-                       this->ports.startRun(start, [this, cell, generation, endpoint = start.endpoint, task = start.task, run = start.run](const StartResult &result) {
-                           this->withLeader(cell, generation, [&](CellLeader &leader) { leader.onStarted(currentTime(), endpoint, task, run, result); });
-                       });
-                   },
-                   [&](StopRun &stop) {
-                       this->ports.stopRun(stop, [this, cell, generation, endpoint = stop.endpoint, task = stop.task, run = stop.run](StopResult result) {
-                           this->withLeader(cell, generation, [&](CellLeader &leader) { leader.onStopped(currentTime(), endpoint, task, run, result); });
-                       });
-                   },
-                   [&](HoldEndpoint &hold) {
-                       this->ports.hold(hold, [this, cell, generation, endpoint = hold.endpoint](HoldResult result) {
-                           this->withLeader(cell, generation, [&](CellLeader &leader) { leader.onHeld(currentTime(), endpoint, std::move(result)); });
-                       });
-                   },
-                   [&](AnswerSubmission &reply) { this->onSubmitAnswer(reply.call, std::move(reply.answer)); },
-                   [&](AnswerCancel &reply) { this->onJobAnswer(reply.call, reply.answer); },
-                   [&](LeadEnded &ended) {
-                       this->led.erase(cell);
-                       CellView &view = this->cells.at(ended.cell);
-                       if (view.leader == this->options.self.name) {
-                           view.leader = InstanceName();
-                           view.takesJobs = false;
-                       }
-                       this->isAdvertDue = true;
-                   },
-                   [&](LogDecision &line) { this->ports.log(line); },
-               },
-               action);
+    std::visit(
+        Overloaded{
+            [&](CommitRows &commit) {
+                this->ports.commit(std::move(commit.transaction), [this, cell, generation](TransactionResult result) {
+                    this->withLeader(cell, generation,
+                                     [&](CellLeader &leader) { leader.onCommitted(this->ports.now(), std::move(result)); });
+                });
+            },
+            [&](ReadLead &read) {
+                this->ports.read({read.key.table, read.key.part, read.key.key, 1}, [this, cell, generation](const ReadResult &result) {
+                    this->withLeader(cell, generation, [&](CellLeader &leader) { leader.onLeadRead(this->ports.now(), result); });
+                });
+            },
+            [&](ReadCell &) { this->readCell(cell, generation, std::make_shared<CellContent>(), 0, {}); },
+            [&](StartRun &start) {
+                this->ports.startRun(start, [this, cell, generation, endpoint = start.endpoint, task = start.task,
+                                             run = start.run](const StartResult &result) {
+                    this->withLeader(cell, generation,
+                                     [&](CellLeader &leader) { leader.onStarted(this->ports.now(), endpoint, task, run, result); });
+                });
+            },
+            [&](StopRun &stop) {
+                this->ports.stopRun(
+                    stop, [this, cell, generation, endpoint = stop.endpoint, task = stop.task, run = stop.run](StopResult result) {
+                        this->withLeader(cell, generation,
+                                         [&](CellLeader &leader) { leader.onStopped(this->ports.now(), endpoint, task, run, result); });
+                    });
+            },
+            [&](HoldEndpoint &hold) {
+                this->ports.hold(hold, [this, cell, generation, endpoint = hold.endpoint](HoldResult result) {
+                    this->withLeader(cell, generation,
+                                     [&](CellLeader &leader) { leader.onHeld(this->ports.now(), endpoint, std::move(result)); });
+                });
+            },
+            [&](AnswerSubmission &reply) { this->onSubmitAnswer(reply.call, std::move(reply.answer)); },
+            [&](AnswerCancel &reply) { this->onJobAnswer(reply.call, reply.answer); },
+            [&](LeadEnded &ended) {
+                this->led.erase(cell);
+                CellView &view = this->cells.at(ended.cell);
+                if (view.leader == this->options.self.name) {
+                    view.leader = InstanceName();
+                    view.takesJobs = false;
+                }
+                this->isAdvertDue = true;
+            },
+            [&](LogDecision &line) { this->ports.log(line); },
+        },
+        action);
 }
 
-void Node::readCell(const CellName &cell, std::uint64_t generation, std::shared_ptr<CellContent> content, std::size_t table, std::string from)
+void Node::readCell(const CellName &cell, std::uint64_t generation, std::shared_ptr<CellContent> content, std::size_t table,
+                    std::string from)
 {
     if (table == CellTables.size()) {
-        this->withLeader(cell, generation, [&](CellLeader &leader) { leader.onRecovered(currentTime(), std::move(*content)); });
+        this->withLeader(cell, generation, [&](CellLeader &leader) { leader.onRecovered(this->ports.now(), std::move(*content)); });
         return;
     }
-    this->ports.read({std::string(CellTables[table]), cell.value, from, 0}, [this, cell, generation, content, table, from](const ReadResult &result) {
-        const auto found = this->led.find(cell);
-        if (found == this->led.end() || found->second.generation != generation) {
-            return;
-        }
-        if (!result.isAnswered) {
-            this->log("cell-read-failed", {{"cell", cell.value}, {"error", result.error}}, true);
-            this->callLater(ReadRetry, [this, cell, generation, content, table, from] { this->readCell(cell, generation, content, table, from); });
-            return;
-        }
-        for (const Row &row : result.rows) {
-            std::optional<Error> fault;
-            if (row.key == rosterKey(cell)) {
-                Result<std::vector<EndpointRecord>> roster = decodeRoster(row.value);
-                roster ? content->roster = std::move(roster).value() : std::vector<EndpointRecord>();
-                fault = roster ? std::nullopt : std::optional(roster.error());
-            } else if (row.key.table == ProgressTable) {
-                Result<JobProgress> progress = decodeProgress(row.value);
-                if (progress) {
-                    content->progress.push_back({JobId(row.key.key), std::move(progress).value()});
+    this->ports.read(
+        {std::string(CellTables[table]), cell.value, from, 0}, [this, cell, generation, content, table, from](const ReadResult &result) {
+            const auto found = this->led.find(cell);
+            if (found == this->led.end() || found->second.generation != generation) {
+                return;
+            }
+            if (!result.isAnswered) {
+                this->log("cell-read-failed", {{"cell", cell.value}, {"error", result.error}}, true);
+                this->callLater(ReadRetry,
+                                [this, cell, generation, content, table, from] { this->readCell(cell, generation, content, table, from); });
+                return;
+            }
+            for (const Row &row : result.rows) {
+                std::optional<Error> fault;
+                if (row.key == rosterKey(cell)) {
+                    Result<std::vector<EndpointRecord>> roster = decodeRoster(row.value);
+                    roster ? content->roster = std::move(roster).value() : std::vector<EndpointRecord>();
+                    fault = roster ? std::nullopt : std::optional(roster.error());
+                } else if (row.key.table == ProgressTable) {
+                    Result<JobProgress> progress = decodeProgress(row.value);
+                    if (progress) {
+                        content->progress.push_back({JobId(row.key.key), std::move(progress).value()});
+                    }
+                    fault = progress ? std::nullopt : std::optional(progress.error());
+                } else if (row.key.table == JobsTable) {
+                    Result<StoredJob> job = decodeJob(JobId(row.key.key), row.value);
+                    if (job) {
+                        content->jobs.push_back(std::move(job).value());
+                    }
+                    fault = job ? std::nullopt : std::optional(job.error());
                 }
-                fault = progress ? std::nullopt : std::optional(progress.error());
-            } else if (row.key.table == JobsTable) {
-                Result<StoredJob> job = decodeJob(JobId(row.key.key), row.value);
-                if (job) {
-                    content->jobs.push_back(std::move(job).value());
+                if (fault) {
+                    this->log("row-unreadable", {{"table", row.key.table}, {"key", row.key.key}, {"error", fault->message}}, true);
                 }
-                fault = job ? std::nullopt : std::optional(job.error());
             }
-            if (fault) {
-                this->log("row-unreadable", {{"table", row.key.table}, {"key", row.key.key}, {"error", fault->message}}, true);
+            if (result.hasMore && !result.rows.empty()) {
+                this->readCell(cell, generation, content, table, result.rows.back().key.key + '\0');
+                return;
             }
-        }
-        if (result.hasMore && !result.rows.empty()) {
-            this->readCell(cell, generation, content, table, result.rows.back().key.key + '\0');
-            return;
-        }
-        this->readCell(cell, generation, content, table + 1, {});
-    });
+            this->readCell(cell, generation, content, table + 1, {});
+        });
 }
 
 void Node::planLeads(TimePoint now)
@@ -206,7 +216,7 @@
         const bool isStoreSteady = now - this->membersReadAt < StoreSteadyTime && now - this->storeGoodSince > StoreSteadyTime;
         lead.storeSilence = isStoreSteady ? view.storeSilence : Duration{};
         if (!lead.leader.empty()) {
-            lead.linkSilence = this->peers->silence(lead.leader);
+            lead.linkSilence = this->links.silence(lead.leader);
             const auto member = this->members.find(lead.leader);
             lead.isInDomain = member != this->members.end() && member->second.record.domain.value == cell.value;
             lead.rowSilence = member == this->members.end() ? Duration::max() : this->membersReadAt - member->second.changedAt;
@@ -231,12 +241,12 @@
 {
     LedCell &entry = this->led[cell];
     entry.generation = ++this->lastGeneration;
-    entry.leader = std::make_unique<CellLeader>(CellLeaderOptions{cell, this->options.self.name, this->options.self.incarnation, this->options.lease},
-                                                currentTime());
+    entry.leader = std::make_unique<CellLeader>(
+        CellLeaderOptions{cell, this->options.self.name, this->options.self.incarnation, this->options.lease}, this->ports.now());
     std::vector<EndpointRecord> own;
     std::ranges::copy_if(this->endpoints, std::back_inserter(own),
                          [&cell](const EndpointRecord &record) { return record.domain.value == cell.value; });
-    entry.leader->setEndpoints(currentTime(), own);
+    entry.leader->setEndpoints(this->ports.now(), own);
     this->runActions(cell);
 }
 
@@ -247,7 +257,8 @@
             continue;
         }
         const bool hasLocal = std::ranges::any_of(this->members, [&, name = cell](const auto &member) {
-            return member.second.record.domain.value == name.value && this->isMemberAlive(member.second, now) && this->peers->isLinked(member.first);
+            return member.second.record.domain.value == name.value && this->isMemberAlive(member.second, now)
+                   && this->links.isLinked(member.first);
         });
         if (hasLocal) {
             entry.leader->release(now);
@@ -272,7 +283,7 @@
     }
     const std::string bytes = encodeLinkMessage(message);
     for (const auto &[name, member] : this->members) {
-        this->peers->send(name, bytes);
+        this->links.send(name, bytes);
     }
 }
 
@@ -325,8 +336,8 @@
 void Node::readMembers()
 {
     this->isMemberReadInFlight = true;
-    const bool isStarting = currentTime() < this->startedAt + 2 * SettleTime;
-    this->nextMemberReadAt = currentTime() + (isStarting ? SettleTime / 2 : HeartbeatInterval);
+    const bool isStarting = this->ports.now() < this->startedAt + 2 * SettleTime;
+    this->nextMemberReadAt = this->ports.now() + (isStarting ? SettleTime / 2 : HeartbeatInterval);
     this->ports.read({std::string(InstancesTable), "", "", 0}, [this](const ReadResult &result) {
         this->isMemberReadInFlight = false;
         if (!result.isAnswered) {
@@ -340,7 +351,7 @@
 
 void Node::onMembersRead(const ReadResult &result)
 {
-    const TimePoint now = currentTime();
+    const TimePoint now = this->ports.now();
     this->membersReadAt = now;
     this->storeGoodSince = std::min(this->storeGoodSince, now);
     for (const Row &row : result.rows) {
@@ -352,7 +363,8 @@
         const auto [found, isNew] = this->members.try_emplace(name);
         Member &member = found->second;
         if (isNew || member.record.incarnation != record.value().incarnation) {
-            this->log("member", {{"instance", name.value}, {"domain", record.value().domain.value}, {"address", record.value().peerAddress.value}});
+            this->log("member",
+                      {{"instance", name.value}, {"domain", record.value().domain.value}, {"address", record.value().peerAddress.value}});
             member.isLeaving = false;
         }
         if (isNew || member.version != row.version) {
@@ -368,10 +380,10 @@
             linked.push_back(member.record);
         }
     }
-    this->peers->setPeers(linked);
+    this->links.setPeers(linked);
 }
 
-void Node::onAsked(ConnectionHandle connection, std::string_view bytes)
+void Node::onAsked(LinkHandle connection, std::string_view bytes)
 {
     Result<LinkMessage> message = decodeLinkMessage(bytes);
     if (message.has_error()) {
@@ -404,7 +416,9 @@
                    [&](LinkSubmit &submit) {
                        const auto own = this->led.find(submit.cell);
                        if (own == this->led.end()) {
-                           this->peers->reply(connection, encodeLinkMessage(LinkSubmitReply{submit.call, {SubmitVerdict::Refused, std::string(NotLeadingReason), {}, {}}}));
+                           this->links.reply(connection,
+                                             encodeLinkMessage(LinkSubmitReply{
+                                                 submit.call, {SubmitVerdict::Refused, std::string(NotLeadingReason), {}, {}}}));
                            return;
                        }
                        const CallId call(++this->lastCall);
@@ -413,7 +427,8 @@
                        pending.origin = submit.call;
                        pending.connection = connection;
                        pending.cell = submit.cell;
-                       own->second.leader->submit(currentTime(), call, std::move(submit.id), std::move(submit.spec), std::move(submit.terms), submit.wasOffered);
+                       own->second.leader->submit(this->ports.now(), call, std::move(submit.id), std::move(submit.spec),
+                                                  std::move(submit.terms), submit.wasOffered);
                        this->runActions(submit.cell);
                    },
                    [&](LinkJobAsk &ask) {
@@ -425,14 +440,14 @@
                            pending.kind = PendingCall::Kind::RemoteQuestion;
                            pending.origin = ask.call;
                            pending.connection = connection;
-                           own->second.leader->cancel(currentTime(), call, ask.id);
+                           own->second.leader->cancel(this->ports.now(), call, ask.id);
                            this->runActions(ask.cell);
                            return;
                        }
                        if (own != this->led.end()) {
                            answer = own->second.leader->query(ask.id);
                        }
-                       this->peers->reply(connection, encodeLinkMessage(LinkJobReply{ask.call, answer}));
+                       this->links.reply(connection, encodeLinkMessage(LinkJobReply{ask.call, answer}));
                    },
                    [&](LinkWithdraw &withdraw) {
                        const auto found = std::ranges::find_if(this->calls, [&](const auto &entry) {
@@ -453,12 +468,12 @@
     const CellName cell = this->calls.at(call).cell;
     this->calls.erase(call);
     if (const auto own = this->led.find(cell); own != this->led.end()) {
-        own->second.leader->withdraw(currentTime(), call);
+        own->second.leader->withdraw(this->ports.now(), call);
         this->runActions(cell);
     }
 }
 
-void Node::onAskerLost(ConnectionHandle connection)
+void Node::onAskerLost(LinkHandle connection)
 {
     this->askers.erase(connection);
     // Whoever asked has told its callers that the outcome is unknown, and they hand their jobs in again.
@@ -511,12 +526,13 @@
 {
     std::vector<LeadCandidate> result;
     const auto countLed = [this](const InstanceName &name) {
-        return static_cast<std::size_t>(std::ranges::count_if(this->cells, [&name](const auto &entry) { return entry.second.leader == name && !entry.second.isGone; }));
+        return static_cast<std::size_t>(
+            std::ranges::count_if(this->cells, [&name](const auto &entry) { return entry.second.leader == name && !entry.second.isGone; }));
     };
     const InstanceRecord &self = this->options.self;
     result.push_back({self.name, self.domain, self.coreShare, countLed(self.name)});
     for (const auto &[name, member] : this->members) {
-        if (this->isMemberAlive(member, now) && this->peers->isLinked(name)) {
+        if (this->isMemberAlive(member, now) && this->links.isLinked(name)) {
             result.push_back({name, member.record.domain, member.record.coreShare, countLed(name)});
         }
     }
@@ -527,13 +543,13 @@
 {
     this->isLeaving = true;
     this->isAdvertDue = true;
-    this->nextHeartbeatAt = currentTime();
+    this->nextHeartbeatAt = this->ports.now();
     std::vector<CellName> names;
     for (const auto &[cell, entry] : this->led) {
         names.push_back(cell);
     }
     for (const CellName &cell : names) {
-        this->led.at(cell).leader->release(currentTime());
+        this->led.at(cell).leader->release(this->ports.now());
         this->runActions(cell);
     }
 }
--- a/src/node/node_ports.h
+++ b/src/node/node_ports.h
@@ -4,14 +4,38 @@
 #include "cells/cell_action.h"
 
 #include <functional>
+#include <span>
 
 namespace Tanagertally::Cells {
 
+using LinkHandle = std::uint64_t; ///< A link that another instance opened.
+
+/** Links to other instances, as a node sees them. */
+struct NodeLinks {
+    std::function<void(std::span<const InstanceRecord>)> setPeers; ///< Open links to these instances and to no others.
+    std::function<bool(const InstanceName &, const std::string &)> send; ///< Send a message; tells whether the link is open.
+    std::function<void(LinkHandle, const std::string &)> reply; ///< Answer on a link that another instance opened.
+    std::function<bool(const InstanceName &)> isLinked; ///< Whether the link to an instance is open.
+    std::function<Duration(const InstanceName &)> silence; ///< Time since an instance was heard; the longest if never.
+    std::function<void()> tick; ///< Ping what is open, drop what is silent, open what is missing.
+};
+
+/** What a node hears of its links. */
+struct NodeLinkHandlers {
+    std::function<void(const InstanceName &)> linked; ///< The link to an instance is open.
+    std::function<void(const InstanceName &, bool wasRefused)> lost; ///< The link is gone, or couldn't be opened.
+    std::function<void(const InstanceName &, std::string)> replied; ///< A message came on the link to an instance.
+    std::function<void(LinkHandle)> askerLost; ///< A link that another instance opened is gone or silent.
+    std::function<void(LinkHandle, std::string)> asked; ///< A message came on a link that another instance opened.
+};
+
 /** Everything that a node asks of adapters. Each handler is called once, later, on the thread that runs the node. */
 struct NodePorts {
+    std::function<TimePoint()> now; ///< The time, which goes on while the machine is suspended.
     std::function<void(StoreTransaction, std::function<void(TransactionResult)>)> commit; ///< Carry out a transaction.
     std::function<void(RangeRead, std::function<void(ReadResult)>)> read; ///< Read a range of rows.
-    std::function<void(std::string table, RowVersion after, Duration wait, std::function<void(ReadResult)>)> follow; ///< Wait for changes of a table.
+    std::function<void(std::string table, RowVersion after, Duration wait, std::function<void(ReadResult)>)>
+        follow; ///< Wait for changes of a table.
     std::function<void(const StartRun &, std::function<void(StartResult)>)> startRun; ///< Start a run.
     std::function<void(const StopRun &, std::function<void(StopResult)>)> stopRun; ///< Stop a run.
     std::function<void(const HoldEndpoint &, std::function<void(HoldResult)>)> hold; ///< Hold an endpoint.
--- a/src/node/peer_bus.cpp
+++ b/src/node/peer_bus.cpp
@@ -18,7 +18,7 @@
 } // namespace
 
 Result<std::unique_ptr<PeerBus>> PeerBus::create(boost::asio::io_context &io, const NetAddress &listen, std::string hello,
-                                                 PeerBusHandlers handlers)
+                                                 NodeLinkHandlers handlers)
 {
     std::unique_ptr<PeerBus> bus(new PeerBus(io, std::move(hello), std::move(handlers)));
     WebsocketTransportOptions options;
@@ -33,7 +33,7 @@
     return bus;
 }
 
-PeerBus::PeerBus(boost::asio::io_context &context, std::string firstMessage, PeerBusHandlers ownerHandlers)
+PeerBus::PeerBus(boost::asio::io_context &context, std::string firstMessage, NodeLinkHandlers ownerHandlers)
     : io(context)
     , hello(std::move(firstMessage))
     , handlers(std::move(ownerHandlers))
@@ -62,22 +62,22 @@
     return result;
 }
 
-void PeerBus::setPeers(std::span<const InstanceRecord> peers)
+void PeerBus::setPeers(std::span<const InstanceRecord> records)
 {
-    for (auto link = this->links.begin(); link != this->links.end();) {
-        const auto peer = std::ranges::find(peers, link->first, &InstanceRecord::name);
-        if (peer != peers.end() && peer->incarnation == link->second.incarnation && peer->peerAddress == link->second.address) {
+    for (auto link = this->peers.begin(); link != this->peers.end();) {
+        const auto peer = std::ranges::find(records, link->first, &InstanceRecord::name);
+        if (peer != records.end() && peer->incarnation == link->second.incarnation && peer->peerAddress == link->second.address) {
             ++link;
             continue;
         }
         if (link->second.handle != 0) {
             this->transport->post([transport = this->transport.get(), handle = link->second.handle] { transport->abort(handle); });
         }
-        link = this->links.erase(link);
+        link = this->peers.erase(link);
     }
-    for (const InstanceRecord &peer : peers) {
-        if (!this->links.contains(peer.name)) {
-            Link &link = this->links[peer.name];
+    for (const InstanceRecord &peer : records) {
+        if (!this->peers.contains(peer.name)) {
+            Link &link = this->peers[peer.name];
             link.address = peer.peerAddress;
             link.incarnation = peer.incarnation;
             this->dial(peer.name, link);
@@ -87,8 +87,8 @@
 
 bool PeerBus::send(const InstanceName &peer, const std::string &bytes)
 {
-    const auto link = this->links.find(peer);
-    if (link == this->links.end() || !link->second.isOpen) {
+    const auto link = this->peers.find(peer);
+    if (link == this->peers.end() || !link->second.isOpen) {
         return false;
     }
     this->reply(link->second.handle, bytes);
@@ -102,14 +102,14 @@
 
 bool PeerBus::isLinked(const InstanceName &peer) const
 {
-    const auto link = this->links.find(peer);
-    return link != this->links.end() && link->second.isOpen;
+    const auto link = this->peers.find(peer);
+    return link != this->peers.end() && link->second.isOpen;
 }
 
 Duration PeerBus::silence(const InstanceName &peer) const
 {
-    const auto link = this->links.find(peer);
-    if (link == this->links.end() || link->second.heardAt == SteadyClock::time_point()) {
+    const auto link = this->peers.find(peer);
+    if (link == this->peers.end() || link->second.heardAt == SteadyClock::time_point()) {
         return Duration::max();
     }
     return SteadyClock::now() - link->second.heardAt;
@@ -119,7 +119,7 @@
 {
     const auto now = SteadyClock::now();
     this->dropSilentAskers(now);
-    for (auto &[name, link] : this->links) {
+    for (auto &[name, link] : this->peers) {
         if (link.isOpen && now - link.heardAt > DeadLinkSilence) {
             this->drop(name, link, false);
         } else if (link.isOpen && now - link.pingedAt > PingInterval) {
@@ -148,6 +148,18 @@
     }
 }
 
+NodeLinks PeerBus::links()
+{
+    NodeLinks result;
+    result.setPeers = [this](std::span<const InstanceRecord> records) { this->setPeers(records); };
+    result.send = [this](const InstanceName &peer, const std::string &bytes) { return this->send(peer, bytes); };
+    result.reply = [this](LinkHandle link, const std::string &bytes) { this->reply(link, bytes); };
+    result.isLinked = [this](const InstanceName &peer) { return this->isLinked(peer); };
+    result.silence = [this](const InstanceName &peer) { return this->silence(peer); };
+    result.tick = [this] { this->tick(); };
+    return result;
+}
+
 void PeerBus::shutDown()
 {
     *this->isAlive = false;
@@ -160,8 +172,8 @@
     this->transport->post([this, name, address = link.address.value] {
         const ConnectionHandle handle = this->transport->connect(address);
         boost::asio::post(this->io, [this, alive = this->isAlive, name, handle, address] {
-            const auto found = *alive ? this->links.find(name) : this->links.end();
-            if (found == this->links.end() || found->second.handle != 0 || found->second.address.value != address) {
+            const auto found = *alive ? this->peers.find(name) : this->peers.end();
+            if (found == this->peers.end() || found->second.handle != 0 || found->second.address.value != address) {
                 this->transport->post([transport = this->transport.get(), handle] { transport->abort(handle); });
                 return;
             }
@@ -178,7 +190,7 @@
         return;
     }
     const auto link = this->findLink(handle);
-    if (link == this->links.end()) {
+    if (link == this->peers.end()) {
         return;
     }
     link->second.isOpen = true;
@@ -190,7 +202,7 @@
 void PeerBus::onReceived(ConnectionHandle handle, std::string bytes)
 {
     const auto link = this->findLink(handle);
-    if (link == this->links.end()) {
+    if (link == this->peers.end()) {
         if (const auto asker = this->askers.find(handle); asker != this->askers.end()) {
             asker->second = SteadyClock::now();
             this->handlers.asked(handle, std::move(bytes));
@@ -208,7 +220,7 @@
         return;
     }
     const auto link = this->findLink(handle);
-    if (link != this->links.end()) {
+    if (link != this->peers.end()) {
         link->second.heardAt = SteadyClock::now();
     }
 }
@@ -220,7 +232,7 @@
         return;
     }
     const auto link = this->findLink(handle);
-    if (link == this->links.end()) {
+    if (link == this->peers.end()) {
         return;
     }
     // A connection that fails at once was refused or reset by the machine: nothing listens there.
@@ -229,8 +241,8 @@
     link->second.isOpen = false;
     this->handlers.lost(link->first, failedAtOnce);
     if (!failedAtOnce && *this->isAlive) {
-        const auto again = this->links.find(link->first);
-        if (again != this->links.end()) {
+        const auto again = this->peers.find(link->first);
+        if (again != this->peers.end()) {
             this->dial(again->first, again->second);
         }
     }
@@ -246,7 +258,7 @@
 
 std::map<InstanceName, PeerBus::Link>::iterator PeerBus::findLink(ConnectionHandle handle)
 {
-    return std::ranges::find_if(this->links, [handle](const auto &entry) { return entry.second.handle == handle; });
+    return std::ranges::find_if(this->peers, [handle](const auto &entry) { return entry.second.handle == handle; });
 }
 
 } // namespace Tanagertally::Cells
--- a/src/node/peer_bus.h
+++ b/src/node/peer_bus.h
@@ -3,6 +3,7 @@
 
 #include "cells/fleet_type.h"
 #include "core/result_type.h"
+#include "node/node_ports.h"
 #include "peer/websocket_transport.h"
 
 #include <boost/asio/io_context.hpp>
@@ -12,15 +13,6 @@
 
 namespace Tanagertally::Cells {
 
-/** What the owner of a PeerBus hears, on the thread that runs its io_context. */
-struct PeerBusHandlers {
-    std::function<void(const InstanceName &)> linked; ///< The connection to an instance is open.
-    std::function<void(const InstanceName &, bool wasRefused)> lost; ///< The connection is gone, or couldn't be opened.
-    std::function<void(const InstanceName &, std::string)> replied; ///< A message came on the connection to an instance.
-    std::function<void(ConnectionHandle)> askerLost; ///< A connection that another instance opened is gone or silent.
-    std::function<void(ConnectionHandle, std::string)> asked; ///< A message came on a connection that another instance opened.
-};
-
 /**
  * Links to the other instances. The transport has a thread of its own; everything else happens on the thread that runs `io`,
  * and all methods are called there.
@@ -33,7 +25,7 @@
      * @return The bus, or Unavailable if the address can't be bound.
      */
     static Result<std::unique_ptr<PeerBus>> create(boost::asio::io_context &io, const NetAddress &listen, std::string hello,
-                                                   PeerBusHandlers handlers);
+                                                   NodeLinkHandlers handlers);
 
     /** Open connections to these instances, and close those to others. */
     void setPeers(std::span<const InstanceRecord> peers);
@@ -53,6 +45,9 @@
     /** Ping what is open, drop what is silent, and open what is missing. To be called every 100 ms or so. */
     void tick();
 
+    /** @return The links as a node sees them. They have to be used no longer than the bus lives. */
+    NodeLinks links();
+
     /** Close everything. */
     void shutDown();
 
@@ -68,7 +63,7 @@
         std::chrono::steady_clock::time_point pingedAt; ///< When it was pinged last.
     };
 
-    PeerBus(boost::asio::io_context &io, std::string hello, PeerBusHandlers handlers);
+    PeerBus(boost::asio::io_context &io, std::string hello, NodeLinkHandlers handlers);
     WebsocketTransportHandlers transportHandlers();
     void dial(const InstanceName &name, Link &link);
     void onOpened(ConnectionHandle handle, ConnectionSide side);
@@ -81,10 +76,11 @@
 
     boost::asio::io_context &io; ///< Runs the owner.
     std::string hello; ///< First message on each connection.
-    PeerBusHandlers handlers; ///< What the owner hears.
+    NodeLinkHandlers handlers; ///< What the owner hears.
     std::unique_ptr<WebsocketTransport> transport; ///< Connections.
-    std::map<ConnectionHandle, std::chrono::steady_clock::time_point> askers; ///< Connections opened by others, by when they were heard last.
-    std::map<InstanceName, Link> links; ///< Connections to others.
+    std::map<ConnectionHandle, std::chrono::steady_clock::time_point>
+        askers; ///< Connections opened by others, by when they were heard last.
+    std::map<InstanceName, Link> peers; ///< Connections to others.
     std::shared_ptr<bool> isAlive = std::make_shared<bool>(true); ///< Cleared when the bus is shut down.
 };
 
--- a/src/node/table_follower.cpp
+++ b/src/node/table_follower.cpp
@@ -1,7 +1,5 @@
 #include "node/table_follower.h"
 
-#include "node/node.h"
-
 #include <algorithm>
 
 namespace Tanagertally::Cells {
@@ -104,7 +102,7 @@
         return;
     }
     this->isWaiting = true;
-    this->retryAt = currentTime() + delay;
+    this->retryAt = this->ports.now() + delay;
 }
 
 void TableFollower::restart(TimePoint now)
@@ -122,7 +120,7 @@
 {
     this->options.pause = length;
     if (this->isWaiting) {
-        this->retryAt = std::min(this->retryAt, currentTime() + length);
+        this->retryAt = std::min(this->retryAt, this->ports.now() + length);
     }
 }
 
@@ -145,12 +143,14 @@
 void TableFollower::onFailed(const ReadResult &result, bool startsOver)
 {
     if (!this->isFailing || startsOver) {
-        this->ports.log({"store-feed-lost", {{"table", this->options.table}, {"history_lost", result.historyLost ? "yes" : "no"}, {"error", result.error}}, true});
+        this->ports.log({"store-feed-lost",
+                         {{"table", this->options.table}, {"history_lost", result.historyLost ? "yes" : "no"}, {"error", result.error}},
+                         true});
     }
     this->isFailing = true;
     this->isWhole = this->isWhole && !startsOver;
     this->isWaiting = true;
-    this->retryAt = currentTime() + (result.historyLost ? Duration{} : this->pause);
+    this->retryAt = this->ports.now() + (result.historyLost ? Duration{} : this->pause);
     this->pause = std::min(2 * this->pause, LongestPause);
 }
 
--- /dev/null
+++ b/src/node/tests/calls_test.cpp
@@ -0,0 +1,123 @@
+// Callers' calls through one instance while the leader of the cell dies, stands still or is stopped.
+#include "node/tests/node_world.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Tanagertally;
+using namespace Tanagertally::Cells;
+using namespace Tanagertally::Cells::Test;
+using namespace std::chrono_literals;
+
+namespace {
+
+const JobId Job("00000000000000a1");
+
+struct ThreeNodes {
+    NodeWorld fleet{3, 2};
+    std::size_t entry = fleet.follower();
+
+    std::size_t runCount() const
+    {
+        std::size_t count = 0;
+        for (const WorldEndpoint &endpoint : this->fleet.world.endpoints) {
+            count += endpoint.runs.size();
+        }
+        return count;
+    }
+
+    bool endsAs(CallId call, JobState state)
+    {
+        auto &answers = this->fleet.nodes[this->entry].submitAnswers;
+        const auto isAnswered = [&] { return answers.contains(call); };
+        return this->fleet.world.passUntil(isAnswered, 2s) && answers.at(call).verdict == SubmitVerdict::Ended
+               && answers.at(call).state == state;
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Calls)
+
+BOOST_FIXTURE_TEST_CASE(JobIsAnsweredThroughAnInstanceThatDoesNotLead, ThreeNodes)
+{
+    BOOST_TEST(this->endsAs(this->fleet.submit(this->entry, Job, 3), JobState::Done));
+    BOOST_TEST(this->fleet.world.startCount == 3U);
+}
+
+BOOST_FIXTURE_TEST_CASE(JobOutlivesTheDeathOfItsLeader, ThreeNodes)
+{
+    this->fleet.world.workTime = 500ms;
+    const CallId call = this->fleet.submit(this->entry, Job, 4);
+    this->fleet.world.pass(100ms);
+    this->fleet.kill(*this->fleet.leader());
+    BOOST_TEST(this->endsAs(call, JobState::Done));
+    BOOST_TEST(this->fleet.world.startCount == 4U);
+    BOOST_TEST(this->fleet.world.violations.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(JobOutlivesAPlannedStopOfItsLeader, ThreeNodes)
+{
+    this->fleet.world.workTime = 500ms;
+    const CallId call = this->fleet.submit(this->entry, Job, 4);
+    this->fleet.world.pass(100ms);
+    const std::size_t leader = *this->fleet.leader();
+    this->fleet.nodes[leader].node->leave();
+    BOOST_TEST(this->endsAs(call, JobState::Done));
+    BOOST_TEST(this->fleet.world.startCount == 4U);
+    BOOST_TEST(this->fleet.nodes[leader].node->isIdle());
+    BOOST_TEST(this->fleet.world.violations.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(FrozenLeaderIsReplacedAndDoesNoHarmWhenItWakes, ThreeNodes)
+{
+    const std::size_t frozen = *this->fleet.leader();
+    this->fleet.freeze(frozen);
+    BOOST_TEST(this->fleet.world.passUntil([this] { return this->fleet.leader().has_value(); }, 3s));
+    this->fleet.world.pass(500ms);
+    this->entry = this->fleet.follower();
+    const CallId call = this->fleet.submit(this->entry, Job, 4);
+    this->fleet.world.pass(10ms);
+    this->fleet.thaw(frozen);
+    BOOST_TEST(this->endsAs(call, JobState::Done));
+    this->fleet.world.pass(3s);
+    BOOST_TEST(!this->fleet.nodes[frozen].node->leadsCells());
+    BOOST_TEST(this->fleet.world.violations.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(RefusalIsNotPassedOnIfAFormerLeaderMayHaveRunTheJob, ThreeNodes)
+{
+    this->fleet.world.workTime = 500ms;
+    const CallId call = this->fleet.submit(this->entry, Job, 4);
+    this->fleet.world.pass(100ms);
+    this->fleet.kill(*this->fleet.leader());
+    for (WorldNode &node : this->fleet.nodes) {
+        node.node->setEndpoints({}); // The next leader knows of no endpoint that could run it.
+    }
+    auto &answers = this->fleet.nodes[this->entry].submitAnswers;
+    BOOST_TEST(this->fleet.world.passUntil([&] { return answers.contains(call); }, 3s));
+    BOOST_TEST((answers.at(call).verdict != SubmitVerdict::Refused));
+}
+
+BOOST_FIXTURE_TEST_CASE(RunsStopWhenTheCallerIsGone, ThreeNodes)
+{
+    this->fleet.world.workTime = 10s;
+    const CallId call = this->fleet.submit(this->entry, Job, 4, 20s);
+    this->fleet.world.pass(100ms);
+    BOOST_TEST(this->runCount() == 4U);
+    this->fleet.nodes[this->entry].node->forget(call);
+    this->fleet.world.pass(200ms);
+    BOOST_TEST(this->runCount() == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(RunsStopWhenTheInstanceThatAskedIsGone, ThreeNodes)
+{
+    this->fleet.world.workTime = 10s;
+    this->fleet.submit(this->entry, Job, 4, 20s);
+    this->fleet.world.pass(100ms);
+    BOOST_TEST(this->runCount() == 4U);
+    this->fleet.kill(this->entry);
+    this->fleet.world.pass(200ms);
+    BOOST_TEST(this->runCount() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/node/tests/leadership_test.cpp
@@ -0,0 +1,64 @@
+#include "node/cell_directory.h"
+#include "node/leadership.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Tanagertally;
+using namespace Tanagertally::Cells;
+using namespace std::chrono_literals;
+
+namespace {
+
+const LeadershipLimits Limits;
+
+LeadObservation leadOf(Duration linkSilence, Duration rowSilence, bool isInDomain)
+{
+    return {InstanceName("leader"), isInDomain, false, linkSilence, rowSilence, Duration{}};
+}
+
+CellView viewOf(std::int64_t freeCpu, double waitingWork)
+{
+    CellView view;
+    view.leader = InstanceName("leader");
+    view.takesJobs = true;
+    view.load.capacityCpu = 100000;
+    view.load.freeCpu = freeCpu;
+    view.load.waitingWork = waitingWork;
+    return view;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Leadership)
+
+BOOST_AUTO_TEST_CASE(SilentLeaderIsLostToItsOwnDomainAtOnceAndToOthersOnceItsRowIsOldToo)
+{
+    BOOST_TEST(!isLeaderLost(leadOf(100ms, 10s, true), true, Limits));
+    BOOST_TEST(isLeaderLost(leadOf(1s, 0s, true), true, Limits));
+    BOOST_TEST(!isLeaderLost(leadOf(1s, 0s, true), false, Limits)); // A partition between domains.
+    BOOST_TEST(isLeaderLost(leadOf(1s, 3s, true), false, Limits));
+}
+
+BOOST_AUTO_TEST_CASE(CandidatesOfTheDomainComeFirstAndTakeTurns)
+{
+    const std::vector<LeadCandidate> candidates = {{InstanceName("far"), FailureDomain("b"), 1, 0},
+                                                   {InstanceName("busy"), FailureDomain("a"), 1, 2},
+                                                   {InstanceName("idle"), FailureDomain("a"), 1, 0}};
+    const CellName cell("a");
+    BOOST_TEST(isOwnTurn(InstanceName("idle"), cell, FailureDomain("a"), candidates, 0s, Limits));
+    BOOST_TEST(!isOwnTurn(InstanceName("busy"), cell, FailureDomain("a"), candidates, 0s, Limits));
+    BOOST_TEST(isOwnTurn(InstanceName("busy"), cell, FailureDomain("a"), candidates, Limits.turn, Limits));
+    BOOST_TEST(!isOwnTurn(InstanceName("far"), cell, FailureDomain("a"), candidates, Limits.turn, Limits));
+}
+
+BOOST_AUTO_TEST_CASE(JobGoesHomeUnlessAnotherCellStartsItEarlier)
+{
+    std::map<CellName, CellView> cells;
+    cells[CellName("home")] = viewOf(40000, 0);
+    cells[CellName("other")] = viewOf(60000, 0);
+    BOOST_TEST((rankCells(cells, CellName("home"), {1000, {}}).front() == CellName("home")));
+    cells[CellName("home")] = viewOf(0, 20000); // 200 ms of work for all of its endpoints.
+    BOOST_TEST((rankCells(cells, CellName("home"), {1000, {}}).front() == CellName("other")));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/node/tests/node_world.cpp
@@ -0,0 +1,230 @@
+#include "node/tests/node_world.h"
+
+#include <algorithm>
+
+namespace Tanagertally::Cells::Test {
+
+namespace {
+
+constexpr Duration LinkDelay = std::chrono::milliseconds(1);
+constexpr Duration StoreDelay = std::chrono::milliseconds(5);
+constexpr Duration DeadLinkSilence = std::chrono::milliseconds(1200); // As in PeerBus.
+
+/** Handles are never 0. */
+LinkHandle handleOf(std::size_t node)
+{
+    return node + 1;
+}
+
+} // namespace
+
+NodeWorld::NodeWorld(std::size_t nodeCount, std::size_t endpointCount)
+    : world(endpointCount)
+    , nodes(nodeCount)
+{
+    this->world.onTick = [this] { this->tick(); };
+    for (std::size_t index = 0; index < nodeCount; ++index) {
+        WorldNode &entry = this->nodes[index];
+        entry.record = {InstanceName("i" + std::to_string(index)),
+                        Incarnation(index + 1),
+                        NetAddress("10.1.0." + std::to_string(index) + ":1"),
+                        FailureDomain("cell"),
+                        0.25,
+                        false};
+        entry.node = std::make_unique<Node>(
+            NodeOptions{entry.record, {FailureDomain("cell")}, LeaseTerms(), std::chrono::milliseconds(100)}, this->portsOf(index));
+        entry.handlers = entry.node->linkHandlers();
+        entry.node->connect(this->linksOf(index));
+        std::vector<EndpointRecord> records;
+        for (const WorldEndpoint &endpoint : this->world.endpoints) {
+            records.push_back(endpoint.record);
+        }
+        entry.node->setEndpoints(records);
+    }
+    this->world.passUntil([this] { return this->leader().has_value(); }, std::chrono::seconds(5));
+    this->world.pass(std::chrono::milliseconds(500));
+}
+
+std::optional<std::size_t> NodeWorld::leader() const
+{
+    for (std::size_t index = 0; index < this->nodes.size(); ++index) {
+        const WorldNode &entry = this->nodes[index];
+        if (entry.isUp && !entry.isFrozen && entry.node->leadsCells()) {
+            return index;
+        }
+    }
+    return std::nullopt;
+}
+
+std::size_t NodeWorld::follower() const
+{
+    std::size_t index = 0;
+    while (!this->nodes[index].isUp || this->nodes[index].isFrozen || this->nodes[index].node->leadsCells()) {
+        ++index;
+    }
+    return index;
+}
+
+CallId NodeWorld::submit(std::size_t node, const JobId &id, std::uint32_t count, Duration patience)
+{
+    StepSpec step;
+    step.count = count;
+    step.demand = {1000, 10, 0};
+    step.estimate = this->world.workTime;
+    JobSpec spec{std::make_shared<const std::string>("payload"), {step}, true};
+    JobTerms terms{QueueName("queue"), ServiceName("service"), 0, 2, 1.6, std::chrono::milliseconds(60)};
+    const CallId call(++this->lastCall);
+    this->nodes[node].node->submit(call, id, std::move(spec), std::move(terms), this->world.now + patience);
+    return call;
+}
+
+void NodeWorld::kill(std::size_t node)
+{
+    this->nodes[node].isUp = false;
+    this->nodes[node].peers.clear();
+    for (std::size_t other = 0; other < this->nodes.size(); ++other) {
+        if (this->nodes[other].peers.erase(node) == 0) {
+            continue;
+        }
+        this->world.at(this->world.now + LinkDelay, [this, other, node] {
+            this->deliver(other, [this, other, node] {
+                this->nodes[other].handlers.lost(this->nodes[node].record.name, true);
+                this->nodes[other].handlers.askerLost(handleOf(node));
+            });
+        });
+    }
+}
+
+void NodeWorld::freeze(std::size_t node)
+{
+    this->nodes[node].isFrozen = true;
+    this->nodes[node].silentSince = this->world.now;
+}
+
+void NodeWorld::thaw(std::size_t node)
+{
+    this->nodes[node].isFrozen = false;
+    for (const auto &handler : std::exchange(this->nodes[node].held, {})) {
+        handler();
+    }
+}
+
+void NodeWorld::deliver(std::size_t node, std::function<void()> handler)
+{
+    WorldNode &entry = this->nodes[node];
+    if (!entry.isUp) {
+        return;
+    }
+    if (entry.isFrozen) {
+        entry.held.push_back(std::move(handler));
+        return;
+    }
+    handler();
+}
+
+void NodeWorld::tick()
+{
+    for (std::size_t index = 0; index < this->nodes.size(); ++index) {
+        WorldNode &entry = this->nodes[index];
+        if (!entry.isUp || entry.isFrozen) {
+            continue;
+        }
+        for (std::size_t other = 0; other < this->nodes.size(); ++other) {
+            const WorldNode &peer = this->nodes[other];
+            if (peer.isFrozen && this->world.now - peer.silentSince > DeadLinkSilence && entry.peers.erase(other) > 0) {
+                entry.handlers.lost(peer.record.name, false);
+                entry.handlers.askerLost(handleOf(other));
+            }
+        }
+        entry.node->tick();
+    }
+}
+
+void NodeWorld::setPeers(std::size_t node, std::span<const InstanceRecord> records)
+{
+    for (const InstanceRecord &record : records) {
+        const auto peer = std::ranges::find_if(this->nodes, [&record](const WorldNode &entry) { return entry.record.name == record.name; });
+        const auto index = static_cast<std::size_t>(peer - this->nodes.begin());
+        if (!peer->isUp || peer->isFrozen || !this->nodes[node].peers.insert(index).second) {
+            continue;
+        }
+        const std::string hello = Node::helloOf(this->nodes[node].record);
+        this->world.at(this->world.now + LinkDelay, [this, node, index, hello] {
+            this->deliver(index, [this, node, index, hello] { this->nodes[index].handlers.asked(handleOf(node), hello); });
+            this->deliver(node, [this, node, index] { this->nodes[node].handlers.linked(this->nodes[index].record.name); });
+        });
+    }
+}
+
+NodeLinks NodeWorld::linksOf(std::size_t node)
+{
+    const auto indexOf = [this](const InstanceName &name) {
+        const auto peer = std::ranges::find_if(this->nodes, [&name](const WorldNode &entry) { return entry.record.name == name; });
+        return static_cast<std::size_t>(peer - this->nodes.begin());
+    };
+    NodeLinks links;
+    links.setPeers = [this, node](std::span<const InstanceRecord> records) { this->setPeers(node, records); };
+    links.send = [this, node, indexOf](const InstanceName &name, const std::string &bytes) {
+        const std::size_t peer = indexOf(name);
+        if (!this->nodes[node].peers.contains(peer)) {
+            return false;
+        }
+        this->world.at(this->world.now + LinkDelay, [this, node, peer, bytes] {
+            this->deliver(peer, [this, node, peer, bytes] { this->nodes[peer].handlers.asked(handleOf(node), bytes); });
+        });
+        return true;
+    };
+    links.reply = [this, node](LinkHandle link, const std::string &bytes) {
+        const std::size_t asker = link - 1;
+        this->world.at(this->world.now + LinkDelay, [this, node, asker, bytes] {
+            this->deliver(asker, [this, node, asker, bytes] { this->nodes[asker].handlers.replied(this->nodes[node].record.name, bytes); });
+        });
+    };
+    links.isLinked = [this, node, indexOf](const InstanceName &name) { return this->nodes[node].peers.contains(indexOf(name)); };
+    links.silence = [this, indexOf](const InstanceName &name) {
+        const WorldNode &peer = this->nodes[indexOf(name)];
+        return peer.isFrozen ? this->world.now - peer.silentSince : Duration{};
+    };
+    links.tick = [] {};
+    return links;
+}
+
+NodePorts NodeWorld::portsOf(std::size_t node)
+{
+    const auto later = [this, node](Duration delay, auto carry, auto handler) {
+        this->world.at(this->world.now + delay / 2, [this, node, delay, carry, handler] {
+            auto result = carry();
+            this->world.at(this->world.now + delay / 2,
+                           [this, node, result, handler] { this->deliver(node, [result, handler] { handler(result); }); });
+        });
+    };
+    NodePorts ports;
+    ports.now = [this] { return this->world.now; };
+    ports.commit = [this, later](const StoreTransaction &transaction, auto handler) {
+        later(
+            StoreDelay, [this, transaction] { return this->world.apply(transaction); }, handler);
+    };
+    ports.read = [this, later](const RangeRead &range, auto handler) {
+        later(
+            StoreDelay, [this, range] { return this->world.readRange(range.table, range.part, range.from); }, handler);
+    };
+    ports.startRun = [this, later](const StartRun &order, auto handler) {
+        later(
+            LinkDelay, [this, order] { return this->world.start(order); }, handler);
+    };
+    ports.stopRun = [this, later](const StopRun &order, auto handler) {
+        later(
+            LinkDelay, [this, order] { return this->world.stop(order); }, handler);
+    };
+    ports.hold = [this, later](const HoldEndpoint &order, auto handler) {
+        later(
+            LinkDelay + order.wait / 20, [this, order] { return this->world.hold(order); }, handler);
+    };
+    ports.answerSubmission = [this, node](CallId call, const SubmitAnswer &answer) { this->nodes[node].submitAnswers[call] = answer; };
+    ports.answerJob = [this, node](CallId call, const JobAnswer &answer) { this->nodes[node].jobAnswers[call] = answer; };
+    ports.rereadConfig = [] {};
+    ports.log = [](const LogDecision &) {};
+    return ports;
+}
+
+} // namespace Tanagertally::Cells::Test
--- a/src/operator/operator_handler.h
+++ b/src/operator/operator_handler.h
@@ -1,10 +1,10 @@
 /** Routes operators' requests: what each path and method means. */
 #pragma once
 
-#include "controllers/event_queue.h"
 #include "caller/bearer_auth.h"
 #include "caller/http_handler.h"
 #include "caller/readiness.h"
+#include "controllers/event_queue.h"
 
 #include <functional>
 #include <string>
