--- a/src/caller/http_calls.h
+++ b/src/caller/http_calls.h
@@ -103,10 +103,19 @@
 
     /** Let in no more connections and calls. @return The connections that are open. */
     std::vector<std::shared_ptr<Session>> close()
+    {
+        {
+            const std::lock_guard lock(this->mutex);
+            this->closed = true;
+            this->waiting.clear();
+        }
+        return this->openSessions();
+    }
+
+    /** @return The connections that are open. */
+    std::vector<std::shared_ptr<Session>> openSessions()
     {
         const std::lock_guard lock(this->mutex);
-        this->closed = true;
-        this->waiting.clear();
         std::vector<std::shared_ptr<Session>> open;
         for (const auto &[address, session] : this->sessions) {
             if (auto alive = session.lock()) {
--- a/src/caller/http_server.h
+++ b/src/caller/http_server.h
@@ -85,6 +85,14 @@
         this->listener->core->stopping = true;
     }
 
+    /** Close the connections without a request in progress. Doesn't block. Thread safety: any thread. */
+    void closeIdle()
+    {
+        for (const auto &session : this->listener->core->calls.openSessions()) {
+            session->stopIfIdle();
+        }
+    }
+
     /** Accept no more connections; each open one ends with its next reply. Doesn't block. Thread safety: any thread. */
     void stopAccepting()
     {
--- a/src/caller/http_session.h
+++ b/src/caller/http_session.h
@@ -69,6 +69,16 @@
                           });
     }
 
+    /** Close the connection if no byte of a request has come. Thread safety: any thread. */
+    void stopIfIdle()
+    {
+        boost::asio::post(this->socket.get_executor(), [self = this->shared_from_this()] {
+            if (self->phase == Phase::Idle) {
+                self->shut();
+            }
+        });
+    }
+
     /** Close the connection whatever it does. Thread safety: any thread. */
     void stop()
     {
--- a/src/cells/cell_dispatch.cpp
+++ b/src/cells/cell_dispatch.cpp
@@ -123,7 +123,7 @@
                              {"task", toText(task)},
                              {"run", std::to_string(run.run.value)},
                              {"endpoint", endpoint.record.name.value}});
-    endpoint.addRun(task, std::move(run));
+    endpoint.addRun(task, run);
 }
 
 void CellLeader::onStarted(TimePoint now, const EndpointName &name, const TaskRef &task, RunNumber number, const StartResult &result)
@@ -228,7 +228,7 @@
     this->holdEndpoints(now);
 }
 
-void CellLeader::onHeld(TimePoint now, const EndpointName &name, HoldResult result)
+void CellLeader::onHeld(TimePoint now, const EndpointName &name, const HoldResult &result)
 {
     CellEndpoint *endpoint = this->findEndpoint(name);
     if (!endpoint) {
@@ -335,7 +335,7 @@
                                                           {"task", toText(listed.task)},
                                                           {"run", std::to_string(listed.run.value)},
                                                           {"endpoint", endpoint.record.name.value}});
-    endpoint.addRun(listed.task, std::move(run));
+    endpoint.addRun(listed.task, run);
     if (isStopped) {
         this->orderStop(now, endpoint, listed.task, endpoint.runs.at(listed.task));
     }
--- a/src/cells/cell_endpoint.cpp
+++ b/src/cells/cell_endpoint.cpp
@@ -63,11 +63,11 @@
     return this->clock && this->certainClockMs(now) > this->grantedUntilMs;
 }
 
-void CellEndpoint::addRun(const TaskRef &task, RunRecord run)
+void CellEndpoint::addRun(const TaskRef &task, const RunRecord &run)
 {
     assert(!this->runs.contains(task));
     this->used += run.demand;
-    this->runs.emplace(task, std::move(run));
+    this->runs.emplace(task, run);
 }
 
 void CellEndpoint::setDemand(const TaskRef &task, const Resources &demand)
--- a/src/cells/cell_endpoint.h
+++ b/src/cells/cell_endpoint.h
@@ -86,7 +86,7 @@
     bool isLapsed(TimePoint now) const;
 
     /** Add a run. */
-    void addRun(const TaskRef &task, RunRecord run);
+    void addRun(const TaskRef &task, const RunRecord &run);
 
     /** Correct what a run takes. @pre The run is there. */
     void setDemand(const TaskRef &task, const Resources &demand);
--- a/src/cells/cell_leader.h
+++ b/src/cells/cell_leader.h
@@ -91,7 +91,7 @@
     void onRecovered(TimePoint now, CellContent content);
     void onStarted(TimePoint now, const EndpointName &endpoint, const TaskRef &task, RunNumber run, const StartResult &result);
     void onStopped(TimePoint now, const EndpointName &endpoint, const TaskRef &task, RunNumber run, StopResult result);
-    void onHeld(TimePoint now, const EndpointName &endpoint, HoldResult result);
+    void onHeld(TimePoint now, const EndpointName &endpoint, const HoldResult &result);
 
     /** Do what is due by now. To be called every 20 ms or so. */
     void advance(TimePoint now);
--- a/src/node/cell_directory.cpp
+++ b/src/node/cell_directory.cpp
@@ -34,6 +34,7 @@
     }
     std::ranges::sort(ranked);
     std::vector<CellName> order;
+    order.reserve(ranked.size());
     for (auto &[wait, name] : ranked) {
         order.push_back(std::move(name));
     }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -133,7 +133,7 @@
     void runActions(const CellName &cell);
     void runAction(const CellName &cell, std::uint64_t generation, CellAction &&action);
     void readCell(const CellName &cell, std::uint64_t generation, std::shared_ptr<CellContent> content, std::size_t table,
-                  std::string from);
+                  const std::string &from);
     template<typename Use>
     void withLeader(const CellName &cell, std::uint64_t generation, Use use);
     void planLeads(TimePoint now);
--- a/src/node/node_cells.cpp
+++ b/src/node/node_cells.cpp
@@ -24,6 +24,16 @@
     using Cases::operator()...;
 };
 
+template<typename... Cases>
+Overloaded(Cases...) -> Overloaded<Cases...>;
+
+/** @return Why a row can't be read; nothing if it can. */
+template<typename T>
+std::optional<Error> faultOf(const Result<T> &read)
+{
+    return read.has_error() ? std::optional(read.error()) : std::nullopt;
+}
+
 } // namespace
 
 void Node::connect(NodeLinks peerLinks)
@@ -85,14 +95,13 @@
         return;
     }
     const std::uint64_t generation = found->second.generation;
-    const CellName name = cell;
     if (!found->second.isKnown && found->second.leader->isLeading()) {
         found->second.isKnown = true;
         this->isAdvertDue = true;
     }
     std::vector<CellAction> actions = found->second.leader->takeActions();
     for (CellAction &action : actions) {
-        this->runAction(name, generation, std::move(action));
+        this->runAction(cell, generation, std::move(action));
     }
 }
 
@@ -127,9 +136,8 @@
                     });
             },
             [&](HoldEndpoint &hold) {
-                this->ports.hold(hold, [this, cell, generation, endpoint = hold.endpoint](HoldResult result) {
-                    this->withLeader(cell, generation,
-                                     [&](CellLeader &leader) { leader.onHeld(this->ports.now(), endpoint, std::move(result)); });
+                this->ports.hold(hold, [this, cell, generation, endpoint = hold.endpoint](const HoldResult &result) {
+                    this->withLeader(cell, generation, [&](CellLeader &leader) { leader.onHeld(this->ports.now(), endpoint, result); });
                 });
             },
             [&](AnswerSubmission &reply) { this->onSubmitAnswer(reply.call, std::move(reply.answer)); },
@@ -149,7 +157,7 @@
 }
 
 void Node::readCell(const CellName &cell, std::uint64_t generation, std::shared_ptr<CellContent> content, std::size_t table,
-                    std::string from)
+                    const std::string &from)
 {
     if (table == CellTables.size()) {
         this->withLeader(cell, generation, [&](CellLeader &leader) { leader.onRecovered(this->ports.now(), std::move(*content)); });
@@ -171,20 +179,22 @@
                 std::optional<Error> fault;
                 if (row.key == rosterKey(cell)) {
                     Result<std::vector<EndpointRecord>> roster = decodeRoster(row.value);
-                    roster ? content->roster = std::move(roster).value() : std::vector<EndpointRecord>();
-                    fault = roster ? std::nullopt : std::optional(roster.error());
+                    fault = faultOf(roster);
+                    if (!fault) {
+                        content->roster = std::move(roster).value();
+                    }
                 } else if (row.key.table == ProgressTable) {
                     Result<JobProgress> progress = decodeProgress(row.value);
-                    if (progress) {
+                    fault = faultOf(progress);
+                    if (!fault) {
                         content->progress.push_back({JobId(row.key.key), std::move(progress).value()});
                     }
-                    fault = progress ? std::nullopt : std::optional(progress.error());
                 } else if (row.key.table == JobsTable) {
                     Result<StoredJob> job = decodeJob(JobId(row.key.key), row.value);
-                    if (job) {
+                    fault = faultOf(job);
+                    if (!fault) {
                         content->jobs.push_back(std::move(job).value());
                     }
-                    fault = job ? std::nullopt : std::optional(job.error());
                 }
                 if (fault) {
                     this->log("row-unreadable", {{"table", row.key.table}, {"key", row.key.key}, {"error", fault->message}}, true);
--- a/src/node/peer_bus.cpp
+++ b/src/node/peer_bus.cpp
@@ -120,13 +120,12 @@
     const auto now = SteadyClock::now();
     this->dropSilentAskers(now);
     for (auto &[name, link] : this->peers) {
-        if (link.isOpen && now - link.heardAt > DeadLinkSilence) {
+        const bool isSilent = link.isOpen ? now - link.heardAt > DeadLinkSilence : link.handle != 0 && now - link.dialedAt > DialTimeout;
+        if (isSilent) {
             this->drop(name, link, false);
         } else if (link.isOpen && now - link.pingedAt > PingInterval) {
             link.pingedAt = now;
             this->transport->post([transport = this->transport.get(), handle = link.handle] { transport->ping(handle); });
-        } else if (!link.isOpen && link.handle != 0 && now - link.dialedAt > DialTimeout) {
-            this->drop(name, link, false);
         } else if (link.handle == 0 && now - link.dialedAt > RedialInterval) {
             this->dial(name, link);
         }
