Order of waiting jobs by what they still earn; endpoints that fail, slow down or stand still are found from their own ends

Changes, each a module without network with a test of its load: job_order (a job that can't meet its objective steps back; an untried one that can't even be late is refused at once), endpoint_health (suspect after failures of two jobs, slowness, stalls), placement leaves out much slower endpoints for jobs that can still be in time.

--- a/src/cells/cell_dispatch.cpp
+++ b/src/cells/cell_dispatch.cpp
@@ -39,16 +39,40 @@
     return this->phase == Phase::Leading && !this->batch.releases && now < this->chain.confirmedAt() + FormerLeaderLimit;
 }
 
-CellLeader::JobRank CellLeader::rankOf(const CellJob &job)
+void CellLeader::queueJob(TimePoint now, CellJob &job)
 {
-    const auto ideal = std::chrono::duration<double, std::nano>(job.estimatedChain()) * job.terms.stretch;
-    const TimePoint objective = job.acceptedAt + std::chrono::duration_cast<Duration>(ideal) + job.terms.targetDuration;
-    return {objective, job.id};
+    this->unqueueJob(job);
+    if (job.waiting().empty()) {
+        return;
+    }
+    job.rank = rankOf(job.id, job.urgency(), now);
+    this->ready.insert(*job.rank);
 }
 
-void CellLeader::queueJob(const CellJob &job)
+void CellLeader::unqueueJob(CellJob &job)
 {
-    this->ready.insert(rankOf(job));
+    if (job.rank) {
+        this->ready.erase(*job.rank);
+        job.rank.reset();
+    }
+}
+
+void CellLeader::refreshRanks(TimePoint now)
+{
+    std::vector<std::shared_ptr<CellJob>> changed;
+    for (const JobRank &rank : this->ready) {
+        const std::shared_ptr<CellJob> job = this->findJob(rank.id);
+        if (chanceOf(job->urgency(), now) != rank.chance) {
+            changed.push_back(job);
+        }
+    }
+    for (const std::shared_ptr<CellJob> &job : changed) {
+        this->queueJob(now, *job);
+        const bool isUntried = job->state == JobState::Queued && job->placedTasks == 0 && !job->wasRecovered;
+        if (job->spec.isBestEffort && isUntried && job->rank->chance == JobChance::Hopeless) {
+            this->refuseUntried(now, job);
+        }
+    }
 }
 
 void CellLeader::pump(TimePoint now)
@@ -58,12 +82,14 @@
     }
     int misses = 0;
     for (auto entry = this->ready.begin(); entry != this->ready.end() && misses < MaxMisses;) {
-        const std::shared_ptr<CellJob> job = this->findJob(entry->second);
+        const std::shared_ptr<CellJob> job = this->findJob(entry->id);
+        assert(job);
+        ++entry;
         if (!this->startWaiting(now, *job)) {
             ++misses;
+        } else {
+            this->unqueueJob(*job);
         }
-        assert(job);
-        entry = job->waiting().empty() ? this->ready.erase(entry) : std::next(entry);
     }
 }
 
@@ -77,16 +103,14 @@
         const StepSpec &step = job.step(task);
         std::vector<PlacementCandidate> candidates;
         for (const auto &[name, endpoint] : this->endpoints) {
-            const EndpointRecord &record = endpoint->record;
-            const bool takesWork = endpoint->isRegistered && !record.isDraining && endpoint->isListed && endpoint->isRostered
-                                   && now >= endpoint->avoidUntil && endpoint->failuresInRow == 0;
-            if (!takesWork || record.service != job.terms.service || !endpoint->isClockKnown()) {
+            if (endpoint->record.service != job.terms.service || !this->mayTake(now, *endpoint, job.task(task), job)) {
                 continue;
             }
             const auto sameStep = std::ranges::count_if(
                 endpoint->runs, [&task](const auto &run) { return run.first.job == task.job && run.first.step == task.step; });
-            candidates.push_back({endpoint.get(), static_cast<std::uint32_t>(sameStep), 1});
+            candidates.push_back({endpoint.get(), static_cast<std::uint32_t>(sameStep), endpoint->health.slowness(now)});
         }
+        leaveOutSlow(candidates, step, job.acceptedAt + job.urgency().objective, now);
         const std::optional<std::size_t> choice = chooseEndpoint(candidates, step, job.task(task).lastEndpoint);
         if (!choice) {
             return false;
@@ -98,6 +122,43 @@
     return true;
 }
 
+bool CellLeader::mayTake(TimePoint now, const CellEndpoint &endpoint, const TaskRecord &task, const CellJob &job) const
+{
+    const bool isOpen = endpoint.isRegistered && !endpoint.record.isDraining && endpoint.isListed && endpoint.isRostered
+                        && endpoint.isClockKnown() && now >= endpoint.avoidUntil && endpoint.failuresInRow == 0;
+    if (!isOpen || !endpoint.health.isSuspect(now)) {
+        return isOpen;
+    }
+    // A trial must not cost a job its last attempt.
+    return endpoint.runs.empty() && endpoint.health.isTrialDue(now) && task.failures + 1 < job.terms.maxAttempts;
+}
+
+void CellLeader::stopStalledRuns(TimePoint now, CellEndpoint &endpoint)
+{
+    for (auto &[ref, run] : endpoint.runs) {
+        const std::shared_ptr<CellJob> job = run.phase == RunPhase::Running ? this->findJob(ref.job) : nullptr;
+        if (!job || !job->hasTask(ref) || isFinal(job->state)) {
+            continue;
+        }
+        const Duration elapsed = now - run.confirmedAt;
+        const Duration estimate = job->step(ref).estimate;
+        TaskRecord &task = job->task(ref);
+        if (task.wasStalled || estimate == Duration{} || !endpoint.health.isStalled(now, elapsed, estimate)) {
+            continue;
+        }
+        endpoint.health.noteOverdue(now, elapsed, estimate);
+        task.wasStalled = true;
+        task.lastEndpoint = endpoint.record.name;
+        run.phase = RunPhase::Stopping;
+        this->log("run-stalled", {{"job", ref.job.value},
+                                  {"task", toText(ref)},
+                                  {"endpoint", endpoint.record.name.value},
+                                  {"elapsed_ms", std::to_string(toMs(elapsed))},
+                                  {"estimate_ms", std::to_string(toMs(estimate))}});
+        this->orderStop(now, endpoint, ref, run);
+    }
+}
+
 bool CellLeader::mayStillRun(const TaskRef &task) const
 {
     return std::ranges::any_of(this->endpoints, [&task](const auto &entry) { return entry.second->runs.contains(task); });
@@ -115,6 +176,7 @@
     run.run = RunNumber((this->chain.token().value - 1) * RunsPerToken + record.starts);
     run.demand = job.step(task).demand;
     run.orderedAt = now;
+    run.confirmedAt = now;
     run.startDeadlineMs = endpoint.probableClockMs(now) + toMs(StartValidity);
     endpoint.noteGrant(run.startDeadlineMs);
     this->actions.emplace_back(
@@ -353,7 +415,13 @@
     const auto found = endpoint.runs.find(end.task);
     const bool isCurrent = found != endpoint.runs.end() && found->second.run == end.run;
     if (isCurrent) {
+        const Duration took = now - found->second.confirmedAt;
         endpoint.removeRun(end.task);
+        if (end.end == RunEnd::Done && isKnownTask) {
+            endpoint.health.noteDone(now, took, job->step(end.task).estimate);
+        } else if (end.end == RunEnd::Failed) {
+            endpoint.health.noteFailed(now, end.task.job);
+        }
     }
     this->log("task-end", {{"job", end.task.job.value},
                            {"task", toText(end.task)},
@@ -396,7 +464,7 @@
         return;
     }
     if (!job->waiting().empty()) {
-        this->queueJob(*job);
+        this->queueJob(now, *job);
     }
 }
 
@@ -421,8 +489,7 @@
         return;
     }
     job->makeWaiting(ref);
-    this->queueJob(*job);
-    static_cast<void>(now);
+    this->queueJob(now, *job);
 }
 
 void CellLeader::loseEndpoint(TimePoint now, CellEndpoint &endpoint, std::string_view reason)
--- a/src/cells/cell_endpoint.h
+++ b/src/cells/cell_endpoint.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "cells/cell_action.h"
+#include "cells/endpoint_health.h"
 
 #include <map>
 #include <optional>
@@ -60,6 +61,7 @@
     TimePoint nextHoldAt; ///< Earliest time of the next one.
     TimePoint avoidUntil; ///< It gets no new runs before.
     TimePoint lastContactAt; ///< When it answered last.
+    EndpointHealth health; ///< How its runs went.
     std::uint32_t failuresInRow = 0; ///< Calls without an answer since the last answer.
     Resources used; ///< What the runs take.
     std::unordered_map<TaskRef, RunRecord> runs; ///< Runs that are there, or may be.
--- a/src/cells/cell_job.cpp
+++ b/src/cells/cell_job.cpp
@@ -155,15 +155,11 @@
     return result;
 }
 
-double CellJob::remainingWork() const
+JobUrgency CellJob::urgency() const
 {
-    double work = 0;
-    for (std::size_t step = 0; step < this->tasks.size(); ++step) {
-        const StepSpec &spec = this->spec.steps[step];
-        const double estimateMs = std::chrono::duration<double, std::milli>(spec.estimate).count();
-        work += estimateMs * static_cast<double>(spec.demand.cpu) * this->undone[step];
-    }
-    return work / 1000;
+    const Duration chain = this->estimatedChain();
+    const auto ideal = std::chrono::duration<double, std::nano>(chain) * this->terms.stretch;
+    return {this->acceptedAt, std::chrono::duration_cast<Duration>(ideal) + this->terms.targetDuration, chain, this->terms.priority};
 }
 
 Duration CellJob::estimatedChain() const
--- a/src/cells/cell_job.h
+++ b/src/cells/cell_job.h
@@ -1,6 +1,7 @@
 /** A job as its cell's leader keeps it. */
 #pragma once
 
+#include "cells/job_order.h"
 #include "cells/job_type.h"
 
 #include <deque>
@@ -21,6 +22,7 @@
 struct TaskRecord {
     TaskPhase phase = TaskPhase::Blocked; ///< What it is doing.
     std::uint32_t failures = 0; ///< Runs that ended as failed.
+    bool wasStalled = false; ///< Whether a run of it was stopped for standing still.
     std::uint32_t starts = 0; ///< Runs that this leader has given out.
     EndpointName lastEndpoint; ///< Where it failed last; empty if nowhere.
 };
@@ -66,6 +68,7 @@
     bool isStored = false; ///< Whether the job is in the store.
     bool isProgressDirty = false; ///< Whether its progress has changed since it was last written.
     bool wasRecovered = false; ///< Whether it was read from the store after a change of leadership.
+    std::optional<JobRank> rank; ///< Place in the order of waiting jobs; unset if none of its tasks waits.
     std::uint32_t placedTasks = 0; ///< Tasks whose phase is Placed.
 
     /** @return The record of a task. @pre The task is one of the job. */
@@ -104,8 +107,8 @@
     /** @return The progress as it should be stored. */
     JobProgress progress() const;
 
-    /** @return Work left in core-milliseconds, by the caller's estimates. */
-    double remainingWork() const;
+    /** @return What its place in the order depends on. */
+    JobUrgency urgency() const;
 
     /** @return The estimated time of the longest chain of steps. */
     Duration estimatedChain() const;
--- a/src/cells/cell_leader.cpp
+++ b/src/cells/cell_leader.cpp
@@ -15,6 +15,7 @@
 constexpr Duration LeadRenewal = std::chrono::seconds(2); // A third of the time after which a leader gives no orders unconfirmed.
 constexpr Duration LeadReadRetry = std::chrono::milliseconds(200); // Pause after a failed read of the lead row.
 constexpr Duration FormerLeaderLimit = std::chrono::seconds(6); // A leader that the store hasn't confirmed for so long gives no orders.
+constexpr Duration OverloadRetryAfter = std::chrono::seconds(2); // Bursts last about 4 s; half of it spreads the returns.
 constexpr Duration OrphanPatience = std::chrono::milliseconds(1200); // Instances notice a change of leader within 1.2 s.
 constexpr Duration RecoveryMargin = std::chrono::milliseconds(200); // For the slowest clock and timers that fire late.
 constexpr Duration EndedJobRetention = std::chrono::seconds(150); // The platform asks for the state of jobs for 120 s.
@@ -97,6 +98,11 @@
         return;
     }
     auto job = std::make_shared<CellJob>(std::move(id), std::move(spec), std::move(terms), now);
+    if (!wasOffered && this->isOverloadedFor(*job, now)) {
+        this->log("job-refused", {{"job", job->id.value}, {"queue", job->terms.queue.value}, {"reason", std::string(OverloadedReason)}});
+        this->answer(call, {SubmitVerdict::Refused, std::string(OverloadedReason), OverloadRetryAfter, {}});
+        return;
+    }
     this->bestEffortCalls.emplace(job->id, call);
     this->jobs.emplace(job->id, job);
     if (wasOffered) {
@@ -106,11 +112,36 @@
             return;
         }
     }
-    this->queueJob(*job);
+    this->queueJob(now, *job);
     this->pump(now);
     this->holdEndpoints(now);
 }
 
+bool CellLeader::isOverloadedFor(const CellJob &job, TimePoint now) const
+{
+    const JobRank rank = rankOf(job.id, job.urgency(), now);
+    double workAhead = 0;
+    std::int64_t capacity = 0;
+    for (const auto &[name, endpoint] : this->endpoints) {
+        capacity += endpoint->isListed && !endpoint->record.isDraining ? endpoint->record.capacity.cpu : 0;
+    }
+    for (const JobRank &other : this->ready) {
+        if (rank < other) {
+            break;
+        }
+        const std::shared_ptr<CellJob> waiting = this->findJob(other.id);
+        for (const TaskRef &task : waiting->waiting()) {
+            const StepSpec &step = waiting->step(task);
+            workAhead += std::chrono::duration<double, std::milli>(step.estimate).count() * static_cast<double>(step.demand.cpu);
+        }
+    }
+    if (capacity == 0) {
+        return false;
+    }
+    const auto wait = std::chrono::duration<double, std::milli>(workAhead / static_cast<double>(capacity));
+    return chanceOf(job.urgency(), now + std::chrono::duration_cast<Duration>(wait)) == JobChance::Hopeless;
+}
+
 void CellLeader::attachOrphans(TimePoint now, CellJob &job)
 {
     job.restore({});
@@ -168,10 +199,22 @@
         this->bestEffortCalls.erase(call);
     }
     this->logEnd(now, *job);
-    this->ready.erase(rankOf(*job));
+    this->unqueueJob(*job);
     this->jobs.erase(job->id);
 }
 
+void CellLeader::refuseUntried(TimePoint now, const std::shared_ptr<CellJob> &job)
+{
+    assert(job->placedTasks == 0 && job->state == JobState::Queued);
+    const auto call = this->bestEffortCalls.find(job->id);
+    if (call != this->bestEffortCalls.end()) {
+        this->answer(call->second, {SubmitVerdict::Refused, std::string(OverloadedReason), OverloadRetryAfter, {}});
+        this->bestEffortCalls.erase(call);
+    }
+    job->end(JobState::Cancelled);
+    this->finishBestEffort(now, job);
+}
+
 void CellLeader::withdraw(TimePoint now, CallId call)
 {
     const auto found = std::ranges::find_if(this->bestEffortCalls, [call](const auto &entry) { return entry.second == call; });
@@ -299,8 +342,8 @@
             ++load.pendingJobs[job->terms.queue];
         }
     }
-    for (const auto &[rank, id] : this->ready) {
-        const std::shared_ptr<CellJob> job = this->findJob(id);
+    for (const JobRank &rank : this->ready) {
+        const std::shared_ptr<CellJob> job = this->findJob(rank.id);
         for (const TaskRef &task : job->waiting()) {
             const StepSpec &step = job->step(task);
             load.waitingWork
@@ -381,7 +424,7 @@
     for (const PendingAccept &accept : stored.accepts) {
         accept.job->isStored = true;
         this->jobs.emplace(accept.job->id, accept.job);
-        this->queueJob(*accept.job);
+        this->queueJob(now, *accept.job);
         this->log("job-accepted", {{"job", accept.job->id.value}, {"queue", accept.job->terms.queue.value}});
         for (const CallId call : accept.calls) {
             this->answer(call, {SubmitVerdict::Accepted, {}, {}, {}});
@@ -501,7 +544,7 @@
     this->unheard.clear();
     for (auto &[id, job] : this->jobs) {
         job->releaseUnaccounted();
-        this->queueJob(*job);
+        this->queueJob(now, *job);
     }
 }
 
@@ -531,10 +574,12 @@
                 this->orderStop(now, *endpoint, task, run);
             }
         }
+        this->stopStalledRuns(now, *endpoint);
     }
     std::erase_if(this->ended, [now](const auto &entry) { return entry.second.endedAt + EndedJobRetention < now; });
     this->settleRecovery(now);
     this->stopOrphans(now);
+    this->refreshRanks(now);
     this->pump(now);
     this->holdEndpoints(now);
     this->flush(now);
@@ -645,7 +690,7 @@
         }
         this->cancelCalls.erase(calls);
     }
-    this->ready.erase(rankOf(*job));
+    this->unqueueJob(*job);
     this->jobs.erase(id);
 }
 
--- a/src/cells/cell_leader.h
+++ b/src/cells/cell_leader.h
@@ -128,8 +128,6 @@
         TimePoint endedAt; ///< When that was stored.
     };
 
-    using JobRank = std::pair<TimePoint, JobId>; ///< Jobs that wait, the earliest objective first.
-
     // cell_leader.cpp: life cycle and jobs.
     void endLead(std::string reason, bool wasReleased);
     void onApplied(TimePoint now);
@@ -144,9 +142,11 @@
     void submitBestEffort(TimePoint now, CallId call, JobId id, JobSpec spec, JobTerms terms, bool wasOffered);
     void attachOrphans(TimePoint now, CellJob &job);
     void stopOrphans(TimePoint now);
+    void refuseUntried(TimePoint now, const std::shared_ptr<CellJob> &job);
     void finishBestEffort(TimePoint now, const std::shared_ptr<CellJob> &job);
     void settleRecovery(TimePoint now);
     std::optional<std::string> findRefusal(const JobSpec &spec, const JobTerms &terms) const;
+    bool isOverloadedFor(const CellJob &job, TimePoint now) const;
     void logEnd(TimePoint now, const CellJob &job);
     PendingAccept *findPending(const JobId &id);
     void answer(CallId call, SubmitAnswer answer);
@@ -157,8 +157,11 @@
     void pump(TimePoint now);
     bool startWaiting(TimePoint now, CellJob &job);
     void startRun(TimePoint now, CellJob &job, const TaskRef &task, CellEndpoint &endpoint);
-    static JobRank rankOf(const CellJob &job);
-    void queueJob(const CellJob &job);
+    void queueJob(TimePoint now, CellJob &job);
+    void unqueueJob(CellJob &job);
+    void refreshRanks(TimePoint now);
+    void stopStalledRuns(TimePoint now, CellEndpoint &endpoint);
+    bool mayTake(TimePoint now, const CellEndpoint &endpoint, const TaskRecord &task, const CellJob &job) const;
     void holdEndpoints(TimePoint now);
     void sendHold(TimePoint now, CellEndpoint &endpoint);
     void stopRuns(TimePoint now, const JobId &job);
--- a/src/cells/placement.cpp
+++ b/src/cells/placement.cpp
@@ -5,6 +5,13 @@
 
 namespace Tanagertally::Cells {
 
+namespace {
+
+constexpr double MuchSlower = 2; // Healthy endpoints differ by 1.5 at most.
+constexpr double LikelySame = 1.6; // Differences below this are the spread of run times.
+
+} // namespace
+
 bool hasLabel(const EndpointRecord &endpoint, std::string_view label)
 {
     return std::ranges::find(endpoint.labels, label) != endpoint.labels.end();
@@ -15,6 +22,20 @@
     return step.demand.fitsInto(endpoint.capacity) && (step.requirement.empty() || hasLabel(endpoint, step.requirement));
 }
 
+void leaveOutSlow(std::vector<PlacementCandidate> &candidates, const StepSpec &step, TimePoint objective, TimePoint now)
+{
+    if (candidates.empty()) {
+        return;
+    }
+    const auto slowness = [](const PlacementCandidate &candidate) { return candidate.slowness; };
+    const double fastest = std::ranges::min(candidates, {}, slowness).slowness;
+    std::erase_if(candidates, [&](const PlacementCandidate &candidate) {
+        const auto runTime
+            = std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::nano>(step.estimate) * candidate.slowness);
+        return candidate.slowness > MuchSlower * fastest && now + step.estimate <= objective && now + runTime > objective;
+    });
+}
+
 std::optional<std::size_t> chooseEndpoint(std::span<const PlacementCandidate> candidates, const StepSpec &step, const EndpointName &avoid)
 {
     // Smaller is better, in this order.
@@ -32,7 +53,8 @@
             continue;
         }
         const bool isFar = !step.affinity.empty() && !hasLabel(endpoint.record, step.affinity.value);
-        const Rank rank{endpoint.record.name == avoid, isFar, candidate.slowness, room.cpu - step.demand.cpu};
+        const double slowness = candidate.slowness < LikelySame ? 1 : candidate.slowness;
+        const Rank rank{endpoint.record.name == avoid, isFar, slowness, room.cpu - step.demand.cpu};
         if (!best || rank < bestRank) {
             best = number;
             bestRank = rank;
--- a/src/cells/placement.h
+++ b/src/cells/placement.h
@@ -21,6 +21,14 @@
 /** @return Whether an endpoint could run a task of a step if it were empty. Thread safety: any thread. */
 bool canEverRun(const EndpointRecord &endpoint, const StepSpec &step);
 
+/**
+ * Leave out endpoints that are much slower than the fastest one with room, if the task could meet its objective only on a faster
+ * one. Waiting for a fast endpoint beats starting at once on one that takes several times as long.
+ * @param objective When the task has to end.
+ * Thread safety: any thread.
+ */
+void leaveOutSlow(std::vector<PlacementCandidate> &candidates, const StepSpec &step, TimePoint objective, TimePoint now);
+
 /**
  * Choose an endpoint for a task: in the rack of its data if there is room, then the one that leaves the least processor unused,
  * so that wide tasks still find room elsewhere (best fit).
--- /dev/null
+++ b/src/cells/tests/health_test.cpp
@@ -0,0 +1,64 @@
+#include "cells/endpoint_health.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Tanagertally;
+using namespace Tanagertally::Cells;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint Start(100s);
+
+JobId job(int number)
+{
+    return JobId(std::to_string(number));
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Health)
+
+BOOST_AUTO_TEST_CASE(EndpointThatFailsJobsInARowIsSuspectAndTriedLessAndLessOften)
+{
+    EndpointHealth health;
+    health.noteFailed(Start, job(1));
+    BOOST_TEST(!health.isSuspect(Start));
+    health.noteFailed(Start, job(2));
+    BOOST_TEST(health.isSuspect(Start));
+    BOOST_TEST(!health.isTrialDue(Start + 100ms));
+    BOOST_TEST(health.isTrialDue(Start + 500ms));
+    health.noteFailed(Start + 500ms, job(3));
+    BOOST_TEST(!health.isTrialDue(Start + 1s));
+    health.noteDone(Start + 2s, 60ms, 60ms);
+    BOOST_TEST(!health.isSuspect(Start + 2s));
+}
+
+BOOST_AUTO_TEST_CASE(JobThatFailsByItsOwnFaultDoesNotCondemnAnEndpoint)
+{
+    EndpointHealth health;
+    for (int count = 0; count < 5; ++count) {
+        health.noteFailed(Start, job(1));
+    }
+    BOOST_TEST(!health.isSuspect(Start));
+}
+
+BOOST_AUTO_TEST_CASE(SlowEndpointIsKnownWithinThreeRunsAndForgivenWithinSeconds)
+{
+    EndpointHealth health;
+    for (int count = 0; count < 3; ++count) {
+        health.noteDone(Start, 390ms, 60ms);
+    }
+    BOOST_TEST(health.slowness(Start) > 4);
+    BOOST_TEST(health.slowness(Start + 10s) < 1.5);
+}
+
+BOOST_AUTO_TEST_CASE(RunThatStandsStillIsStalledButOneThatWasEstimatedTooShortIsNot)
+{
+    EndpointHealth health;
+    BOOST_TEST(!health.isStalled(Start, 250ms, 60ms));
+    BOOST_TEST(health.isStalled(Start, 600ms, 60ms));
+    BOOST_TEST(!health.isStalled(Start, 3s, 900ms));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/cells/tests/order_test.cpp
@@ -0,0 +1,95 @@
+// Overload: what callers get in time under an order of waiting jobs, against first come first served and earliest deadline first.
+#include "cells/job_order.h"
+#include "core/random_base.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <functional>
+#include <vector>
+
+using namespace Tanagertally;
+using namespace Tanagertally::Cells;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct WaitingJob {
+    JobId id;
+    JobUrgency urgency;
+};
+
+using Before = std::function<bool(const WaitingJob &, const WaitingJob &, TimePoint)>;
+
+bool isFirstCome(const WaitingJob &left, const WaitingJob &right, TimePoint)
+{
+    return left.urgency.acceptedAt < right.urgency.acceptedAt;
+}
+
+bool hasEarlierDeadline(const WaitingJob &left, const WaitingJob &right, TimePoint)
+{
+    return left.urgency.acceptedAt + left.urgency.objective < right.urgency.acceptedAt + right.urgency.objective;
+}
+
+bool hasLowerRank(const WaitingJob &left, const WaitingJob &right, TimePoint now)
+{
+    return rankOf(left.id, left.urgency, now) < rankOf(right.id, right.urgency, now);
+}
+
+/** Jobs of 200 ms with an objective of 380 ms on 20 places; for 4 s, 1.5 times as many come as can be served. @return Share in time. */
+double shareInTime(const Before &before)
+{
+    RandomEngine random(7);
+    std::vector<WaitingJob> queue;
+    std::vector<TimePoint> places(20);
+    const TimePoint start(100s);
+    std::size_t inTime = 0;
+    std::size_t jobs = 0;
+    double owed = 0;
+    for (TimePoint now = start; now < start + 10s; now += 1ms) {
+        owed += (now < start + 4s ? 1.5 : 0.8) * 20 / 200;
+        for (; owed >= 1; owed -= 1) {
+            const auto spread = std::chrono::milliseconds(drawBelow(random, 100));
+            queue.push_back({JobId(std::to_string(++jobs)), {now, 330ms + spread, 150ms + spread, 0}});
+        }
+        for (TimePoint &place : places) {
+            if (place > now || queue.empty()) {
+                continue;
+            }
+            const auto next = std::ranges::min_element(
+                queue, [&](const WaitingJob &left, const WaitingJob &right) { return before(left, right, now); });
+            place = now + next->urgency.remaining;
+            inTime += place <= next->urgency.acceptedAt + next->urgency.objective ? 1 : 0;
+            queue.erase(next);
+        }
+    }
+    return static_cast<double>(inTime) / static_cast<double>(jobs);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Order)
+
+BOOST_AUTO_TEST_CASE(BurstLeavesMoreJobsInTimeThanFirstComeOrEarliestDeadline)
+{
+    const double firstCome = shareInTime(isFirstCome);
+    const double earliest = shareInTime(hasEarlierDeadline);
+    const double ranked = shareInTime(hasLowerRank);
+    BOOST_TEST_MESSAGE("in time: first come " << firstCome << ", earliest deadline " << earliest << ", by chance " << ranked);
+    BOOST_TEST(ranked > firstCome + 0.2);
+    BOOST_TEST(ranked > earliest + 0.2);
+    // Of what comes in the burst, a third can't be served at all.
+    BOOST_TEST(ranked > 0.7);
+}
+
+BOOST_AUTO_TEST_CASE(JobThatIsLateStepsBackAndOneThatIsHopelessFurther)
+{
+    const TimePoint now(100s);
+    const JobUrgency onTime{now, 200ms, 100ms, 0};
+    const JobUrgency late{now - 300ms, 200ms, 100ms, 0};
+    const JobUrgency hopeless{now - 600ms, 200ms, 100ms, 0};
+    BOOST_TEST((rankOf(JobId("a"), onTime, now) < rankOf(JobId("b"), late, now)));
+    BOOST_TEST((rankOf(JobId("b"), late, now) < rankOf(JobId("c"), hopeless, now)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -193,7 +193,7 @@
         answer = {SubmitVerdict::Unknown, "a former leader may have run it", {}, {}};
     }
     const bool isElsewhere = answer.verdict == SubmitVerdict::Refused && !pending.cell.empty()
-                             && (answer.reason == NotLeadingReason || answer.reason == NoEndpointReason);
+                             && (answer.reason == NotLeadingReason || answer.reason == NoEndpointReason || answer.reason == OverloadedReason);
     if (isElsewhere && this->ports.now() < pending.deadline) {
         pending.triedCells.push_back(pending.cell);
         this->offer(call, pending);
