Overload: a best-effort job that can't be in time is refused at once, one that has become hopeless untried as soon as that is known

Change: on arrival, the work that waits ahead decides; each 20 ms the queue is walked once with the work ahead summed up. The test is OverloadRefusesAtOnceWhatCantBeInTimeAndServesTheRest.

--- a/src/cells/cell_dispatch.cpp
+++ b/src/cells/cell_dispatch.cpp
@@ -68,10 +68,6 @@
     }
     for (const std::shared_ptr<CellJob> &job : changed) {
         this->queueJob(now, *job);
-        const bool isUntried = job->state == JobState::Queued && job->placedTasks == 0 && !job->wasRecovered;
-        if (job->spec.isBestEffort && isUntried && job->rank->chance == JobChance::Hopeless) {
-            this->refuseUntried(now, job);
-        }
     }
 }
 
--- a/src/cells/cell_job.cpp
+++ b/src/cells/cell_job.cpp
@@ -155,6 +155,16 @@
     return result;
 }
 
+double CellJob::waitingWork() const
+{
+    double work = 0;
+    for (const TaskRef &ref : this->waitingTasks) {
+        const StepSpec &step = this->step(ref);
+        work += std::chrono::duration<double, std::milli>(step.estimate).count() * static_cast<double>(step.demand.cpu) / 1000;
+    }
+    return work;
+}
+
 JobUrgency CellJob::urgency() const
 {
     const Duration chain = this->estimatedChain();
--- a/src/cells/cell_job.h
+++ b/src/cells/cell_job.h
@@ -107,6 +107,9 @@
     /** @return The progress as it should be stored. */
     JobProgress progress() const;
 
+    /** @return Work of the tasks that wait, in core-milliseconds, by the caller's estimates. */
+    double waitingWork() const;
+
     /** @return What its place in the order depends on. */
     JobUrgency urgency() const;
 
--- a/src/cells/cell_leader.cpp
+++ b/src/cells/cell_leader.cpp
@@ -25,6 +25,13 @@
     return std::to_string(number);
 }
 
+/** @return Time until work that waits, in core-milliseconds, has got room. */
+Duration waitFor(double work, std::int64_t capacityCpu)
+{
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double, std::milli>(work / (static_cast<double>(capacityCpu) / 1000)));
+}
+
 } // namespace
 
 CellLeader::CellLeader(CellLeaderOptions leaderOptions, TimePoint now)
@@ -117,29 +124,31 @@
     this->holdEndpoints(now);
 }
 
-bool CellLeader::isOverloadedFor(const CellJob &job, TimePoint now) const
+std::int64_t CellLeader::openCapacity() const
 {
-    const JobRank rank = rankOf(job.id, job.urgency(), now);
-    double workAhead = 0;
     std::int64_t capacity = 0;
     for (const auto &[name, endpoint] : this->endpoints) {
-        capacity += endpoint->isListed && !endpoint->record.isDraining ? endpoint->record.capacity.cpu : 0;
+        const bool isOpen = endpoint->isListed && endpoint->isRegistered && !endpoint->record.isDraining && endpoint->failuresInRow == 0;
+        capacity += isOpen ? endpoint->record.capacity.cpu : 0;
+    }
+    return capacity;
+}
+
+bool CellLeader::isOverloadedFor(const CellJob &job, TimePoint now) const
+{
+    const std::int64_t capacity = this->openCapacity();
+    if (capacity == 0) {
+        return false;
     }
+    const JobRank rank = rankOf(job.id, job.urgency(), now);
+    double workAhead = 0;
     for (const JobRank &other : this->ready) {
         if (rank < other) {
             break;
         }
-        const std::shared_ptr<CellJob> waiting = this->findJob(other.id);
-        for (const TaskRef &task : waiting->waiting()) {
-            const StepSpec &step = waiting->step(task);
-            workAhead += std::chrono::duration<double, std::milli>(step.estimate).count() * static_cast<double>(step.demand.cpu);
-        }
+        workAhead += this->findJob(other.id)->waitingWork();
     }
-    if (capacity == 0) {
-        return false;
-    }
-    const auto wait = std::chrono::duration<double, std::milli>(workAhead / static_cast<double>(capacity));
-    return chanceOf(job.urgency(), now + std::chrono::duration_cast<Duration>(wait)) == JobChance::Hopeless;
+    return chanceOf(job.urgency(), now + waitFor(workAhead, capacity)) != JobChance::OnTime;
 }
 
 void CellLeader::attachOrphans(TimePoint now, CellJob &job)
@@ -203,6 +212,28 @@
     this->jobs.erase(job->id);
 }
 
+void CellLeader::refuseHopeless(TimePoint now)
+{
+    const std::int64_t capacity = this->openCapacity();
+    if (capacity == 0) {
+        return;
+    }
+    std::vector<std::shared_ptr<CellJob>> refused;
+    double workAhead = 0;
+    for (const JobRank &rank : this->ready) {
+        const std::shared_ptr<CellJob> job = this->findJob(rank.id);
+        const bool isUntried = job->state == JobState::Queued && job->placedTasks == 0 && !job->wasRecovered;
+        if (job->spec.isBestEffort && isUntried && chanceOf(job->urgency(), now + waitFor(workAhead, capacity)) == JobChance::Hopeless) {
+            refused.push_back(job);
+            continue;
+        }
+        workAhead += job->waitingWork();
+    }
+    for (const std::shared_ptr<CellJob> &job : refused) {
+        this->refuseUntried(now, job);
+    }
+}
+
 void CellLeader::refuseUntried(TimePoint now, const std::shared_ptr<CellJob> &job)
 {
     assert(job->placedTasks == 0 && job->state == JobState::Queued);
@@ -580,6 +611,7 @@
     this->settleRecovery(now);
     this->stopOrphans(now);
     this->refreshRanks(now);
+    this->refuseHopeless(now);
     this->pump(now);
     this->holdEndpoints(now);
     this->flush(now);
--- a/src/cells/cell_leader.h
+++ b/src/cells/cell_leader.h
@@ -142,10 +142,12 @@
     void submitBestEffort(TimePoint now, CallId call, JobId id, JobSpec spec, JobTerms terms, bool wasOffered);
     void attachOrphans(TimePoint now, CellJob &job);
     void stopOrphans(TimePoint now);
+    void refuseHopeless(TimePoint now);
     void refuseUntried(TimePoint now, const std::shared_ptr<CellJob> &job);
     void finishBestEffort(TimePoint now, const std::shared_ptr<CellJob> &job);
     void settleRecovery(TimePoint now);
     std::optional<std::string> findRefusal(const JobSpec &spec, const JobTerms &terms) const;
+    std::int64_t openCapacity() const;
     bool isOverloadedFor(const CellJob &job, TimePoint now) const;
     void logEnd(TimePoint now, const CellJob &job);
     PendingAccept *findPending(const JobId &id);
--- a/src/cells/tests/leader_test.cpp
+++ b/src/cells/tests/leader_test.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+
 using namespace Tanagertally;
 using namespace Tanagertally::Cells;
 using namespace Tanagertally::Cells::Test;
@@ -206,6 +208,23 @@
     BOOST_TEST(this->world.endpoints[0].runs.size() + this->world.endpoints[1].runs.size() == 0U);
 }
 
+BOOST_FIXTURE_TEST_CASE(OverloadRefusesAtOnceWhatCantBeInTimeAndServesTheRest, OneLeader)
+{
+    this->world.workTime = 200ms; // On four places, with an objective of 380 ms.
+    std::vector<CallId> calls;
+    for (int number = 0; number < 40; ++number) {
+        calls.push_back(this->world.submit(this->leader, JobId(std::to_string(number)), 1, true));
+    }
+    const auto &answers = this->world.leaders[0].submitAnswers;
+    const auto refusedNow = answers.size();
+    BOOST_TEST(refusedNow > 20U);
+    this->world.pass(1500ms);
+    BOOST_TEST(answers.size() == 40U);
+    const auto ended = std::ranges::count_if(answers, [](const auto &answer) { return answer.second.verdict == SubmitVerdict::Ended; });
+    BOOST_TEST(ended >= 6);
+    BOOST_TEST(this->world.startCount == static_cast<std::size_t>(ended));
+}
+
 BOOST_FIXTURE_TEST_CASE(WithdrawnJobThatStillWaitsIsNoLoad, OneLeader)
 {
     this->world.workTime = 10s;
