--- a/src/cells/cell_leader.cpp
+++ b/src/cells/cell_leader.cpp
@@ -11,6 +11,7 @@
 
 constexpr std::size_t MaxAcceptsPerTransaction = 24; // Three entries each; the platform takes 100 entries a transaction.
 constexpr std::size_t MaxProgressPerTransaction = 12; // Two entries each.
+constexpr std::size_t MaxRemovalsPerTransaction = 40; // Two entries each.
 constexpr Duration ProgressDelay = std::chrono::milliseconds(300); // Ends are to be acknowledged within 4 s; this groups them.
 constexpr Duration LeadRenewal = std::chrono::seconds(2); // A third of the time after which a leader gives no orders unconfirmed.
 constexpr Duration LeadReadRetry = std::chrono::milliseconds(200); // Pause after a failed read of the lead row.
@@ -481,6 +482,9 @@
             }
         }
     }
+    for (const JobId &id : stored.forgotten) {
+        this->ended.erase(id);
+    }
     if (stored.releases) {
         this->endLead("released", true);
         return;
@@ -607,7 +611,6 @@
         }
         this->stopStalledRuns(now, *endpoint);
     }
-    std::erase_if(this->ended, [now](const auto &entry) { return entry.second.endedAt + EndedJobRetention < now; });
     this->settleRecovery(now);
     this->stopOrphans(now);
     this->refreshRanks(now);
@@ -637,6 +640,7 @@
     this->addAccepts(transaction);
     this->addProgress(transaction);
     this->addRoster(transaction);
+    this->addRemovals(now, transaction);
     this->batch.releases = this->wantsRelease && this->pendingAccepts.empty() && this->dirtyJobs.empty();
     this->lastCommitAt = now;
     this->chain.commit(now, std::move(transaction), this->batch.releases, this->actions);
@@ -683,6 +687,23 @@
     }
 }
 
+void CellLeader::addRemovals(TimePoint now, StoreTransaction &transaction)
+{
+    if (!this->batch.accepts.empty() || !this->batch.progress.empty()) {
+        return; // Such a transaction is waited for.
+    }
+    for (const auto &[id, job] : this->ended) {
+        if (this->batch.forgotten.size() == MaxRemovalsPerTransaction) {
+            return;
+        }
+        if (job.endedAt + EndedJobRetention < now) {
+            transaction.removals.push_back(progressKey(this->options.cell, id));
+            transaction.removals.push_back(idKey(id));
+            this->batch.forgotten.push_back(id);
+        }
+    }
+}
+
 void CellLeader::addRoster(StoreTransaction &transaction)
 {
     if (!this->isRosterDirty) {
--- a/src/cells/cell_leader.h
+++ b/src/cells/cell_leader.h
@@ -119,6 +119,7 @@
         std::vector<std::pair<JobId, JobState>> progress; ///< Progress.
         std::unordered_map<EndpointName, std::uint64_t> endMarks; ///< Ends listed when it was made, by endpoint.
         std::vector<EndpointName> roster; ///< Endpoints that are in the roster then.
+        std::vector<JobId> forgotten; ///< Ended jobs whose rows are gone then.
         bool releases = false; ///< Whether it gives up the lead.
     };
 
@@ -136,6 +137,7 @@
     void addAccepts(StoreTransaction &transaction);
     void addProgress(StoreTransaction &transaction);
     void addRoster(StoreTransaction &transaction);
+    void addRemovals(TimePoint now, StoreTransaction &transaction);
     bool isCommitDue(TimePoint now) const;
     void noteProgress(TimePoint now, CellJob &job);
     void finishJob(TimePoint now, const JobId &id);
--- a/src/cells/tests/cell_world.cpp
+++ b/src/cells/tests/cell_world.cpp
@@ -136,6 +136,11 @@
     return found != this->leaders[leader].submitAnswers.end() && found->second.verdict == SubmitVerdict::Accepted;
 }
 
+std::size_t CellWorld::rowCount() const
+{
+    return this->rows.size();
+}
+
 std::size_t CellWorld::startsOf(const TaskRef &task) const
 {
     const auto found = this->starts.find(task);
--- a/src/cells/tests/cell_world.h
+++ b/src/cells/tests/cell_world.h
@@ -106,6 +106,9 @@
     /** @return Whether a call was answered with acceptance. */
     bool isAccepted(std::size_t leader, CallId call) const;
 
+    /** @return Number of rows in the store. */
+    std::size_t rowCount() const;
+
     /** @return Number of runs that started, of one task. */
     std::size_t startsOf(const TaskRef &task) const;
 
--- a/src/cells/tests/leader_test.cpp
+++ b/src/cells/tests/leader_test.cpp
@@ -77,6 +77,20 @@
     BOOST_TEST(this->world.startCount == 2U);
 }
 
+BOOST_FIXTURE_TEST_CASE(RowsOfEndedJobsAreRemovedOnceNobodyAsksForThem, OneLeader)
+{
+    this->world.pass(100ms);
+    const std::size_t before = this->world.rowCount();
+    this->world.submit(this->leader, Job, 2);
+    BOOST_TEST(this->becomes(Job, JobState::Done));
+    BOOST_TEST(this->world.rowCount() == before + 2);
+    this->world.pass(120s);
+    BOOST_TEST(this->world.shows(this->leader, Job, JobState::Done));
+    this->world.pass(40s);
+    BOOST_TEST(this->world.rowCount() == before);
+    BOOST_TEST((this->world.leaders[0].leader->query(Job).kind == JobAnswer::Kind::NoSuchJob));
+}
+
 BOOST_FIXTURE_TEST_CASE(TaskThatFailsTooOftenFailsItsJob, OneLeader)
 {
     this->world.runOutcome = [] { return RunEnd::Failed; };
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -192,8 +192,9 @@
         // A leader that is gone may have run it, so this refusal says nothing of the job.
         answer = {SubmitVerdict::Unknown, "a former leader may have run it", {}, {}};
     }
-    const bool isElsewhere = answer.verdict == SubmitVerdict::Refused && !pending.cell.empty()
-                             && (answer.reason == NotLeadingReason || answer.reason == NoEndpointReason || answer.reason == OverloadedReason);
+    const bool isElsewhere
+        = answer.verdict == SubmitVerdict::Refused && !pending.cell.empty()
+          && (answer.reason == NotLeadingReason || answer.reason == NoEndpointReason || answer.reason == OverloadedReason);
     if (isElsewhere && this->ports.now() < pending.deadline) {
         pending.triedCells.push_back(pending.cell);
         this->offer(call, pending);
@@ -375,6 +376,11 @@
     return sum;
 }
 
+void Node::logRefusal(const JobId &id, std::string_view reason) const
+{
+    this->log("submission-malformed", {{"job", id.value}, {"reason", std::string(reason)}});
+}
+
 TimePoint Node::now() const
 {
     return this->ports.now();
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -60,6 +60,9 @@
     /** @return Whether this instance leads a cell, or is about to. */
     bool leadsCells() const;
 
+    /** Log that a submission was refused before it came to the node. */
+    void logRefusal(const JobId &id, std::string_view reason) const;
+
     /** @return The time as the node sees it. */
     TimePoint now() const;
 
