--- a/src/cells/cell_dispatch.cpp
+++ b/src/cells/cell_dispatch.cpp
@@ -142,7 +142,7 @@
         if (task.wasStalled || estimate == Duration{} || !endpoint.health.isStalled(now, elapsed, estimate)) {
             continue;
         }
-        endpoint.health.noteOverdue(now, ref.job, elapsed, estimate);
+        endpoint.health.noteOverdue(now, elapsed, estimate);
         task.wasStalled = true;
         task.lastEndpoint = endpoint.record.name;
         run.phase = RunPhase::Stopping;
--- a/src/cells/endpoint_health.cpp
+++ b/src/cells/endpoint_health.cpp
@@ -47,9 +47,8 @@
     this->suspectUntil = now + this->suspicion;
 }
 
-void EndpointHealth::noteOverdue(TimePoint now, const JobId &job, Duration elapsed, Duration estimate)
+void EndpointHealth::noteOverdue(TimePoint now, Duration elapsed, Duration estimate)
 {
-    this->noteFailed(now, job);
     this->ratio = std::max(this->slowness(now), ratioOf(elapsed, estimate));
     this->ratioAt = now;
 }
--- a/src/cells/endpoint_health.h
+++ b/src/cells/endpoint_health.h
@@ -25,8 +25,8 @@
      */
     void noteFailed(TimePoint now, const JobId &job);
 
-    /** Note a run that goes on for longer than it should; it counts like a failed one as well. */
-    void noteOverdue(TimePoint now, const JobId &job, Duration elapsed, Duration estimate);
+    /** Note a run that goes on for longer than it should. */
+    void noteOverdue(TimePoint now, Duration elapsed, Duration estimate);
 
     /** @return Whether the endpoint should get no more than one run at a time, as a trial, and none before the trial is due. */
     bool isSuspect(TimePoint now) const;
