A job is looked for in the store before it is said not to exist; one constant for the limit of an unconfirmed lead

Change: a cell from memory is not believed when it knows no such job; the row of the job's name decides. Test: JobHandedInAgainThroughAnotherCellIsStillFoundInItsOwn fails without the change.

--- a/src/cells/cell_dispatch.cpp
+++ b/src/cells/cell_dispatch.cpp
@@ -18,7 +18,6 @@
 constexpr Duration AvoidAfterNoRoom = std::chrono::milliseconds(50); // Something is there that this leader doesn't know of.
 constexpr Duration AvoidAfterRefusal = std::chrono::milliseconds(500); // An endpoint that says it is unhealthy.
 constexpr Duration StopRetry = std::chrono::milliseconds(150); // Between orders to stop a run.
-constexpr Duration FormerLeaderLimit = std::chrono::seconds(6); // As in cell_leader.cpp: no orders without the store's word for so long.
 constexpr std::uint64_t RunsPerToken = 1024; // Run numbers that one leader can give to one task.
 constexpr int MaxMisses = 6; // Jobs that found no room before the search ends.
 
@@ -36,7 +35,7 @@
 
 bool CellLeader::mayGiveOrders(TimePoint now) const
 {
-    return this->phase == Phase::Leading && !this->batch.releases && now < this->chain.confirmedAt() + FormerLeaderLimit;
+    return this->phase == Phase::Leading && !this->batch.releases && now < this->chain.confirmedAt() + UnconfirmedLeadLimit;
 }
 
 void CellLeader::queueJob(TimePoint now, CellJob &job)
--- a/src/cells/cell_leader.cpp
+++ b/src/cells/cell_leader.cpp
@@ -15,7 +15,6 @@
 constexpr Duration ProgressDelay = std::chrono::milliseconds(300); // Ends are to be acknowledged within 4 s; this groups them.
 constexpr Duration LeadRenewal = std::chrono::seconds(2); // A third of the time after which a leader gives no orders unconfirmed.
 constexpr Duration LeadReadRetry = std::chrono::milliseconds(200); // Pause after a failed read of the lead row.
-constexpr Duration FormerLeaderLimit = std::chrono::seconds(6); // A leader that the store hasn't confirmed for so long gives no orders.
 constexpr Duration OverloadRetryAfter = std::chrono::seconds(2); // Bursts last about 4 s; half of it spreads the returns.
 constexpr Duration OrphanPatience = std::chrono::milliseconds(1200); // Instances notice a change of leader within 1.2 s.
 constexpr Duration RecoveryMargin = std::chrono::milliseconds(200); // For the slowest clock and timers that fire late.
@@ -570,7 +569,7 @@
         return;
     }
     const auto longestLease = std::chrono::duration_cast<Duration>(this->options.lease.longest / LeaseTerms::SlowestClock);
-    const bool areLapsed = now >= this->claimedAt + FormerLeaderLimit + longestLease + RecoveryMargin;
+    const bool areLapsed = now >= this->claimedAt + UnconfirmedLeadLimit + longestLease + RecoveryMargin;
     if (!this->unheard.empty() && !areLapsed) {
         return;
     }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -271,6 +271,8 @@
             return;
         }
         pending.cell = CellName(row->value);
+        pending.isCellRead = true;
+        this->cellOfJob.erase(pending.id);
         this->noteCellOf(pending.id, pending.cell);
         this->askLeader(call, pending);
     });
@@ -290,6 +292,13 @@
     }
     pending.isAsking = false;
     const TimePoint now = this->ports.now();
+    if (answer.kind == JobAnswer::Kind::NoSuchJob && !pending.isCellRead && !pending.cell.empty() && now < pending.deadline) {
+        // The job may have been handed in here a second time, and be in another cell.
+        this->cellOfJob.erase(pending.id);
+        pending.cell = CellName();
+        this->askLeader(call, pending);
+        return;
+    }
     if (answer.kind == JobAnswer::Kind::Unknown && now < pending.deadline) {
         pending.retryAt = now + CallRetry;
         return;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -98,6 +98,7 @@
         InstanceName leader; ///< Instance that is being asked; empty if this one.
         bool isAsking = false; ///< Whether an answer is awaited.
         bool wasOffered = false; ///< Whether a leader that is gone may have run it: only the cell's next leader may get it.
+        bool isCellRead = false; ///< Whether the store told the cell, and not this instance's memory.
         bool isReadingId = false; ///< Whether the store is being asked which cell has the job.
         TimePoint deadline; ///< When to answer at the latest.
         TimePoint retryAt; ///< When to try again.
--- a/src/node/tests/calls_test.cpp
+++ b/src/node/tests/calls_test.cpp
@@ -120,4 +120,28 @@
     BOOST_TEST(this->runCount() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(JobHandedInAgainThroughAnotherCellIsStillFoundInItsOwn)
+{
+    NodeWorld fleet(2, 2, true);
+    const auto isAccepted = [&](std::size_t node, CallId call) {
+        const auto &answers = fleet.nodes[node].submitAnswers;
+        return answers.contains(call) && answers.at(call).verdict == SubmitVerdict::Accepted;
+    };
+    const CallId first = fleet.submit(0, Job, 1, 1500ms, false);
+    BOOST_TEST(fleet.world.passUntil([&] { return isAccepted(0, first); }, 1s));
+    fleet.world.pass(300ms);
+    // The cell takes no work any more, so that the other instance offers the same job to the other cell.
+    fleet.world.endpoints[0].record.isDraining = true;
+    for (WorldNode &node : fleet.nodes) {
+        node.node->setEndpoints({fleet.world.endpoints[0].record, fleet.world.endpoints[1].record});
+    }
+    fleet.world.pass(600ms);
+    const CallId again = fleet.submit(1, Job, 1, 1500ms, false);
+    BOOST_TEST(fleet.world.passUntil([&] { return isAccepted(1, again); }, 1s));
+    const CallId question = fleet.ask(1, Job);
+    fleet.world.passUntil([&] { return fleet.nodes[1].jobAnswers.contains(question); }, 2s);
+    BOOST_REQUIRE(fleet.nodes[1].jobAnswers.contains(question));
+    BOOST_TEST((fleet.nodes[1].jobAnswers.at(question).kind == JobAnswer::Kind::Known));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/node/tests/node_world.cpp
+++ b/src/node/tests/node_world.cpp
@@ -18,11 +18,16 @@
 
 } // namespace
 
-NodeWorld::NodeWorld(std::size_t nodeCount, std::size_t endpointCount)
+NodeWorld::NodeWorld(std::size_t nodeCount, std::size_t endpointCount, bool hasOtherCell)
     : world(endpointCount)
     , nodes(nodeCount)
 {
     this->world.onTick = [this] { this->tick(); };
+    std::vector<FailureDomain> domains = {FailureDomain("cell")};
+    if (hasOtherCell) {
+        domains.emplace_back("other");
+        this->world.endpoints.back().record.domain = FailureDomain("other");
+    }
     for (std::size_t index = 0; index < nodeCount; ++index) {
         WorldNode &entry = this->nodes[index];
         entry.record = {InstanceName("i" + std::to_string(index)),
@@ -31,8 +36,8 @@
                         FailureDomain("cell"),
                         0.25,
                         false};
-        entry.node = std::make_unique<Node>(
-            NodeOptions{entry.record, {FailureDomain("cell")}, LeaseTerms(), std::chrono::milliseconds(100)}, this->portsOf(index));
+        entry.node = std::make_unique<Node>(NodeOptions{entry.record, domains, LeaseTerms(), std::chrono::milliseconds(100)},
+                                            this->portsOf(index));
         entry.handlers = entry.node->linkHandlers();
         entry.node->connect(this->linksOf(index));
         std::vector<EndpointRecord> records;
@@ -65,19 +70,26 @@
     return index;
 }
 
-CallId NodeWorld::submit(std::size_t node, const JobId &id, std::uint32_t count, Duration patience)
+CallId NodeWorld::submit(std::size_t node, const JobId &id, std::uint32_t count, Duration patience, bool isBestEffort)
 {
     StepSpec step;
     step.count = count;
     step.demand = {1000, 10, 0};
     step.estimate = this->world.workTime;
-    JobSpec spec{std::make_shared<const std::string>("payload"), {step}, true};
+    JobSpec spec{std::make_shared<const std::string>("payload"), {step}, isBestEffort};
     JobTerms terms{QueueName("queue"), ServiceName("service"), 0, 2, 1.6, std::chrono::milliseconds(60)};
     const CallId call(++this->lastCall);
     this->nodes[node].node->submit(call, id, std::move(spec), std::move(terms), this->world.now + patience);
     return call;
 }
 
+CallId NodeWorld::ask(std::size_t node, const JobId &id)
+{
+    const CallId call(++this->lastCall);
+    this->nodes[node].node->ask(call, id, JobQuestion::State, this->world.now + std::chrono::seconds(1));
+    return call;
+}
+
 void NodeWorld::kill(std::size_t node)
 {
     this->nodes[node].isUp = false;
--- a/src/node/tests/node_world.h
+++ b/src/node/tests/node_world.h
@@ -22,12 +22,12 @@
     std::map<CallId, JobAnswer> jobAnswers; ///< By call.
 };
 
-/** Nodes of one failure domain, whose cell has the endpoints of the CellWorld. */
+/** Nodes of one failure domain, whose cell has the endpoints of the CellWorld; the last one may be a cell of its own. */
 class NodeWorld
 {
 public:
     /** Make a world and let the nodes start and find a leader. */
-    NodeWorld(std::size_t nodeCount, std::size_t endpointCount);
+    NodeWorld(std::size_t nodeCount, std::size_t endpointCount, bool hasOtherCell = false);
 
     CellWorld world; ///< Store, endpoints and the clock.
     std::vector<WorldNode> nodes; ///< The nodes.
@@ -39,8 +39,12 @@
     /** @return Index of a node that is up and doesn't lead. */
     std::size_t follower() const;
 
-    /** Hand in a best-effort job of like tasks. @return The call. */
-    CallId submit(std::size_t node, const JobId &id, std::uint32_t count, Duration patience = std::chrono::milliseconds(1500));
+    /** Hand in a job of like tasks. @return The call. */
+    CallId submit(std::size_t node, const JobId &id, std::uint32_t count, Duration patience = std::chrono::milliseconds(1500),
+                  bool isBestEffort = true);
+
+    /** Ask how a job stands. @return The call. */
+    CallId ask(std::size_t node, const JobId &id);
 
     /** Kill a process. */
     void kill(std::size_t node);
