A task that finds no room for long no longer ends its leader's process

Cause: a leader had 1,024 run numbers for each task, and an assertion ended the process at the next. A start that is refused for want of room is repeated after 50 ms, so that 26 s were enough on two endpoints that something else fills. Test: TaskThatEndpointsRefuseForHoursIsStillStartedInTheEnd, aborted before.

--- a/src/cells/cell_dispatch.cpp
+++ b/src/cells/cell_dispatch.cpp
@@ -18,7 +18,7 @@
 constexpr Duration AvoidAfterNoRoom = std::chrono::milliseconds(50); // Something is there that this leader doesn't know of.
 constexpr Duration AvoidAfterRefusal = std::chrono::milliseconds(500); // An endpoint that says it is unhealthy.
 constexpr Duration StopRetry = std::chrono::milliseconds(150); // Between orders to stop a run.
-constexpr std::uint64_t RunsPerToken = 1024; // Run numbers that one leader can give to one task.
+constexpr std::uint64_t RunsPerToken = 1 << 20; // Run numbers of one leader for one task: a start each 50 ms for 14 hours.
 constexpr int MaxMisses = 6; // Jobs that found no room before the search ends.
 
 std::int64_t toMs(Duration duration)
--- a/src/cells/tests/cell_world.cpp
+++ b/src/cells/tests/cell_world.cpp
@@ -335,7 +335,7 @@
     if (same != endpoint.runs.end()) {
         return same->run == order.run ? StartResult{Kind::Started, ""} : StartResult{Kind::Superseded, "old"};
     }
-    if (endpoint.runs.size() >= 2) {
+    if (endpoint.hasNoRoom || endpoint.runs.size() >= 2) {
         return {Kind::NoRoom, "room"};
     }
     this->checkStart(order.task, order.run);
--- a/src/cells/tests/cell_world.h
+++ b/src/cells/tests/cell_world.h
@@ -39,6 +39,7 @@
     EndpointRecord record; ///< As registered.
     bool isUp = true; ///< Whether it runs.
     bool isReachable = true; ///< Whether calls reach it.
+    bool hasNoRoom = false; ///< Whether something else fills it.
     std::int64_t clockOffsetMs = 0; ///< Its clock against the world's.
     TimePoint leaseUntil; ///< End of its lease.
     FenceToken token; ///< Highest token seen.
--- a/src/cells/tests/leader_test.cpp
+++ b/src/cells/tests/leader_test.cpp
@@ -253,6 +253,40 @@
     BOOST_TEST(this->world.leaders[0].leader->load().waitingWork == 0);
 }
 
+BOOST_FIXTURE_TEST_CASE(TaskThatEndpointsRefuseForHoursIsStillStartedInTheEnd, OneLeader)
+{
+    this->world.pass(100ms);
+    for (WorldEndpoint &endpoint : this->world.endpoints) {
+        endpoint.hasNoRoom = true;
+    }
+    this->world.submit(this->leader, Job, 1);
+    this->world.pass(60s); // With two endpoints that are tried again after 50 ms, far over a thousand orders.
+    for (WorldEndpoint &endpoint : this->world.endpoints) {
+        endpoint.hasNoRoom = false;
+    }
+    BOOST_TEST(this->becomes(Job, JobState::Done));
+}
+
+BOOST_FIXTURE_TEST_CASE(NewLeaderStopsRunsOfACancelledJobAtOnce, OneLeader)
+{
+    this->world.workTime = 10s;
+    this->world.submit(this->leader, Job, 3);
+    this->world.pass(100ms);
+    for (WorldEndpoint &endpoint : this->world.endpoints) {
+        endpoint.isReachable = false; // The stops are lost, and the cancelling is stored.
+    }
+    this->world.cancel(this->leader, Job);
+    this->world.pass(50ms);
+    this->world.leaders[0].isUp = false;
+    for (WorldEndpoint &endpoint : this->world.endpoints) {
+        endpoint.isReachable = true;
+    }
+    this->leader = this->world.addLeader();
+    this->world.pass(300ms);
+    BOOST_TEST(this->world.shows(this->leader, Job, JobState::Cancelled));
+    BOOST_TEST(this->world.endpoints[0].runs.size() + this->world.endpoints[1].runs.size() == 0U);
+}
+
 BOOST_FIXTURE_TEST_CASE(NewLeaderStopsRunsOfBestEffortJobs, OneLeader)
 {
     this->world.workTime = 10s;
