The next leader stops the runs of a cancelled job at once

Cause: runs of a job that a new leader doesn't know are left for 1.2 s, as the instance that handed the job in may still ask for it. A job whose end is stored counted as unknown as well, so a cancelled job's tasks ran on. Found by reading. Before: 3 runs left 300 ms after the change of leader in NewLeaderStopsRunsOfACancelledJobAtOnce; after: none.

--- a/src/cells/cell_dispatch.cpp
+++ b/src/cells/cell_dispatch.cpp
@@ -154,6 +154,11 @@
     }
 }
 
+bool CellLeader::mayBeAskedFor(const JobId &job) const
+{
+    return !this->areOrphansOver && !this->jobs.contains(job) && !this->ended.contains(job);
+}
+
 bool CellLeader::mayStillRun(const TaskRef &task) const
 {
     return std::ranges::any_of(this->endpoints, [&task](const auto &entry) { return entry.second->runs.contains(task); });
@@ -385,7 +390,7 @@
         job->state = JobState::Running;
     } else {
         // The instance that handed the job in may still ask for it.
-        run.phase = !job && !this->areOrphansOver ? RunPhase::Running : RunPhase::Stopping;
+        run.phase = this->mayBeAskedFor(listed.task.job) ? RunPhase::Running : RunPhase::Stopping;
     }
     const bool isStopped = run.phase == RunPhase::Stopping;
     this->log(isWanted ? "run-adopted" : "run-unwanted", {{"job", listed.task.job.value},
@@ -424,7 +429,7 @@
                            {"endpoint", endpoint.record.name.value},
                            {"how", std::string(toString(end.end))},
                            {"current", isCurrent ? "yes" : "no"}});
-    if (!job && !this->areOrphansOver) {
+    if (this->mayBeAskedFor(end.task.job)) {
         this->orphanEnds[end.task] = end.end;
     }
     if (!isKnownTask) {
--- a/src/cells/cell_leader.h
+++ b/src/cells/cell_leader.h
@@ -173,6 +173,7 @@
     void applyEnd(TimePoint now, CellEndpoint &endpoint, const ListedEnd &end);
     void reconcileRuns(TimePoint now, CellEndpoint &endpoint, const HoldResult &result);
     void adoptRun(TimePoint now, CellEndpoint &endpoint, const ListedRun &listed, std::int64_t clockMs);
+    bool mayBeAskedFor(const JobId &job) const;
     bool mayStillRun(const TaskRef &task) const;
     void loseRun(TimePoint now, CellEndpoint &endpoint, TaskRef task, std::string_view reason);
     void loseEndpoint(TimePoint now, CellEndpoint &endpoint, std::string_view reason);
