The leader's source is three files; state that nothing read is gone; a job's urgency is worked out once

Cause: cell_leader.cpp had grown to 815 lines, and reading it as a newcomer found state that nothing read (isStored, storedState, isProgressDirty, orderedAt, a phase, the fields of LeadEnded), parameters that were not used, three copies each of the refusal of a submission, of the work of waiting tasks and of the choice of a cell's endpoints, and the longest chain of steps being worked out with an allocation for each waiting job every 20 ms. Changes: cell_leader.cpp (313 lines, the leader's life), cell_leader_jobs.cpp (299), cell_leader_store.cpp (225); one refuse(), one workOf(), one endpointsOf(); CellJob::urgency is a constant of the job. Ruled out: splitting the class; its parts share the jobs and the endpoints, and the tests drive it as one. Behaviour: unchanged. Tests: 30 leader and module tests, 2,000 schedules and 11 node tests pass as before, none was changed.

--- a/src/cells/cell_action.h
+++ b/src/cells/cell_action.h
@@ -70,9 +70,6 @@
 
 /** The lead is lost or given up; nothing follows from this leader. */
 struct LeadEnded {
-    CellName cell; ///< The cell that this instance leads no more.
-    std::string reason; ///< Why.
-    bool wasReleased = false; ///< Whether the lead was given up in the store, so that another can take it at once.
 };
 
 /** One line for the log. */
--- a/src/cells/cell_dispatch.cpp
+++ b/src/cells/cell_dispatch.cpp
@@ -44,7 +44,7 @@
     if (job.waiting().empty()) {
         return;
     }
-    job.rank = rankOf(job.id, job.urgency(), now);
+    job.rank = rankOf(job.id, job.urgency, now);
     this->ready.insert(*job.rank);
 }
 
@@ -61,7 +61,7 @@
     std::vector<std::shared_ptr<CellJob>> changed;
     for (const JobRank &rank : this->ready) {
         const std::shared_ptr<CellJob> job = this->findJob(rank.id);
-        if (chanceOf(job->urgency(), now) != rank.chance) {
+        if (chanceOf(job->urgency, now) != rank.chance) {
             changed.push_back(job);
         }
     }
@@ -105,7 +105,7 @@
                 endpoint->runs, [&task](const auto &run) { return run.first.job == task.job && run.first.step == task.step; });
             candidates.push_back({endpoint.get(), static_cast<std::uint32_t>(sameStep), endpoint->health.slowness(now)});
         }
-        leaveOutSlow(candidates, step, job.acceptedAt + job.urgency().objective, now);
+        leaveOutSlow(candidates, step, job.acceptedAt + job.urgency.objective, now);
         const std::optional<std::size_t> choice = chooseEndpoint(candidates, step, job.task(task).lastEndpoint);
         if (!choice) {
             return false;
@@ -121,7 +121,7 @@
 {
     const bool isOpen = endpoint.isRegistered && !endpoint.record.isDraining && endpoint.isListed && endpoint.isRostered
                         && endpoint.isClockKnown() && now >= endpoint.avoidUntil && endpoint.failuresInRow == 0;
-    if (!isOpen || !endpoint.health.isSuspect(now)) {
+    if (!isOpen || !endpoint.health.isSuspect()) {
         return isOpen;
     }
     // A trial must not cost a job its last attempt.
@@ -175,7 +175,6 @@
     RunRecord run;
     run.run = RunNumber((this->chain.token().value - 1) * RunsPerToken + record.starts);
     run.demand = job.step(task).demand;
-    run.orderedAt = now;
     run.confirmedAt = now;
     run.startDeadlineMs = endpoint.probableClockMs(now) + toMs(StartValidity);
     endpoint.noteGrant(run.startDeadlineMs);
@@ -352,7 +351,7 @@
             continue;
         }
         const bool isStartOver = run.phase == RunPhase::Doubtful && result.clockMs > run.startDeadlineMs;
-        const bool isSettled = run.phase != RunPhase::Starting && (run.phase == RunPhase::Running || run.isStopConfirmed);
+        const bool isSettled = run.phase == RunPhase::Running || run.isStopConfirmed;
         if (isStartOver || (isSettled && endpoint.holdSentAt > run.confirmedAt)) {
             lost.emplace_back(task, run.phase == RunPhase::Doubtful ? "never-started" : "vanished");
         }
@@ -377,7 +376,6 @@
     const std::shared_ptr<CellJob> job = this->findJob(listed.task.job);
     RunRecord run;
     run.run = listed.run;
-    run.orderedAt = now;
     run.confirmedAt = now;
     const bool isKnownTask = job && job->hasTask(listed.task);
     // An unknown run may take anything: the endpoint counts as full until it is gone.
@@ -521,7 +519,9 @@
     for (auto &[name, endpoint] : this->endpoints) {
         for (auto &[task, run] : endpoint->runs) {
             if (task.job == job && run.phase != RunPhase::Stopping) {
-                run.phase = run.phase == RunPhase::Doubtful ? RunPhase::Doubtful : RunPhase::Stopping;
+                if (run.phase != RunPhase::Doubtful) {
+                    run.phase = RunPhase::Stopping;
+                }
                 this->orderStop(now, *endpoint, task, run);
             }
         }
--- a/src/cells/cell_endpoint.h
+++ b/src/cells/cell_endpoint.h
@@ -23,7 +23,6 @@
     RunNumber run; ///< Its number.
     RunPhase phase = RunPhase::Starting; ///< What is known.
     Resources demand; ///< What it takes.
-    TimePoint orderedAt; ///< When it was ordered.
     TimePoint confirmedAt; ///< When it was last known to be there, or known to be fenced off.
     std::int64_t startDeadlineMs = 0; ///< On the endpoint's clock: it does not start later than this.
     bool isStopConfirmed = false; ///< Whether the endpoint confirmed the stop.
--- a/src/cells/cell_job.cpp
+++ b/src/cells/cell_job.cpp
@@ -9,6 +9,29 @@
 
 constexpr std::uint32_t MaxTasksPerJob = 1000; // The largest job that the product promises to serve.
 
+/** @return The estimated time of the longest chain of steps. */
+Duration estimatedChain(const JobSpec &spec)
+{
+    std::vector<Duration> ends(spec.steps.size());
+    Duration longest{};
+    for (std::size_t step = 0; step < ends.size(); ++step) {
+        Duration start{};
+        for (const std::uint32_t earlier : spec.steps[step].after) {
+            start = std::max(start, ends[earlier]);
+        }
+        ends[step] = start + spec.steps[step].estimate;
+        longest = std::max(longest, ends[step]);
+    }
+    return longest;
+}
+
+JobUrgency urgencyOf(const JobSpec &spec, const JobTerms &terms, TimePoint acceptedAt)
+{
+    const Duration chain = estimatedChain(spec);
+    const auto ideal = std::chrono::duration<double, std::nano>(chain) * terms.stretch;
+    return {acceptedAt, std::chrono::duration_cast<Duration>(ideal) + terms.targetDuration, chain, terms.priority};
+}
+
 } // namespace
 
 CellJob::CellJob(JobId jobId, JobSpec jobSpec, JobTerms jobTerms, TimePoint accepted)
@@ -16,6 +39,7 @@
     , spec(std::move(jobSpec))
     , terms(std::move(jobTerms))
     , acceptedAt(accepted)
+    , urgency(urgencyOf(this->spec, this->terms, accepted))
 {
     for (const StepSpec &step : this->spec.steps) {
         this->tasks.emplace_back(step.count);
@@ -65,7 +89,6 @@
         std::erase(this->waitingTasks, ref);
     }
     record.phase = TaskPhase::Done;
-    this->isProgressDirty = true;
     if (--this->undone[ref.step] > 0) {
         return;
     }
@@ -79,7 +102,6 @@
 {
     TaskRecord &record = this->task(ref);
     ++record.failures;
-    this->isProgressDirty = true;
     if (record.failures < this->terms.maxAttempts) {
         return false;
     }
@@ -92,7 +114,6 @@
     assert(isFinal(finalState));
     this->state = finalState;
     this->waitingTasks.clear();
-    this->isProgressDirty = true;
 }
 
 void CellJob::restore(const JobProgress &progress)
@@ -104,7 +125,6 @@
     }
     this->waitingTasks.clear();
     this->state = progress.state;
-    this->storedState = progress.state;
     for (const JobProgress::TaskFailures &entry : progress.failures) {
         const TaskRef ref{this->id, entry.step, entry.index};
         if (this->hasTask(ref)) {
@@ -117,7 +137,6 @@
             this->markDone(ref);
         }
     }
-    this->isProgressDirty = this->state != this->storedState;
 }
 
 void CellJob::releaseUnaccounted()
@@ -159,34 +178,11 @@
 {
     double work = 0;
     for (const TaskRef &ref : this->waitingTasks) {
-        const StepSpec &step = this->step(ref);
-        work += std::chrono::duration<double, std::milli>(step.estimate).count() * static_cast<double>(step.demand.cpu) / 1000;
+        work += workOf(this->step(ref));
     }
     return work;
 }
 
-JobUrgency CellJob::urgency() const
-{
-    const Duration chain = this->estimatedChain();
-    const auto ideal = std::chrono::duration<double, std::nano>(chain) * this->terms.stretch;
-    return {this->acceptedAt, std::chrono::duration_cast<Duration>(ideal) + this->terms.targetDuration, chain, this->terms.priority};
-}
-
-Duration CellJob::estimatedChain() const
-{
-    std::vector<Duration> ends(this->spec.steps.size());
-    Duration longest{};
-    for (std::size_t step = 0; step < ends.size(); ++step) {
-        Duration start{};
-        for (const std::uint32_t earlier : this->spec.steps[step].after) {
-            start = std::max(start, ends[earlier]);
-        }
-        ends[step] = start + this->spec.steps[step].estimate;
-        longest = std::max(longest, ends[step]);
-    }
-    return longest;
-}
-
 void CellJob::unblock()
 {
     for (std::uint32_t step = 0; step < this->tasks.size(); ++step) {
--- a/src/cells/cell_job.h
+++ b/src/cells/cell_job.h
@@ -63,10 +63,9 @@
     const JobTerms terms; ///< Terms of its queue.
     const TimePoint acceptedAt; ///< When it was handed in, on this process's clock.
 
+    const JobUrgency urgency; ///< What its place in the order depends on.
+
     JobState state = JobState::Queued; ///< How it stands, as decided; what is stored may lag.
-    JobState storedState = JobState::Queued; ///< How it stands in the store.
-    bool isStored = false; ///< Whether the job is in the store.
-    bool isProgressDirty = false; ///< Whether its progress has changed since it was last written.
     bool wasRecovered = false; ///< Whether it was read from the store after a change of leadership.
     std::optional<JobRank> rank; ///< Place in the order of waiting jobs; unset if none of its tasks waits.
     std::uint32_t placedTasks = 0; ///< Tasks whose phase is Placed.
@@ -98,7 +97,10 @@
     /** End the job; no task waits any more. */
     void end(JobState finalState);
 
-    /** Take over progress that was stored, and count all other tasks whose step may run as unaccounted. @pre Nothing was started. */
+    /**
+     * Take over progress that was stored, and count all other tasks whose step may run as unaccounted.
+     * @pre Nothing was started.
+     */
     void restore(const JobProgress &progress);
 
     /** Let all unaccounted tasks wait. */
@@ -110,12 +112,6 @@
     /** @return Work of the tasks that wait, in core-milliseconds, by the caller's estimates. */
     double waitingWork() const;
 
-    /** @return What its place in the order depends on. */
-    JobUrgency urgency() const;
-
-    /** @return The estimated time of the longest chain of steps. */
-    Duration estimatedChain() const;
-
 private:
     void unblock();
     bool isReady(std::uint32_t step) const;
--- a/src/cells/cell_leader.h
+++ b/src/cells/cell_leader.h
@@ -8,7 +8,6 @@
 #include <map>
 #include <set>
 #include <span>
-#include <unordered_set>
 
 namespace Tanagertally::Cells {
 
@@ -102,8 +101,7 @@
         Reading, ///< The lead row is being read.
         Claiming, ///< The lead is being taken.
         Recovering, ///< The cell's rows are being read.
-        Leading, ///< Everything works.
-        Releasing, ///< The lead is being given up.
+        Leading, ///< Everything works, or the lead is being given up.
         Ended, ///< Another leads.
     };
 
@@ -129,8 +127,29 @@
         TimePoint endedAt; ///< When that was stored.
     };
 
-    // cell_leader.cpp: life cycle and jobs.
-    void endLead(std::string reason, bool wasReleased);
+    // cell_leader.cpp: the leader's life.
+    void endLead(const std::string &reason, bool wasReleased);
+    void stopOrphans(TimePoint now);
+    void settleRecovery(TimePoint now);
+    void answer(CallId call, SubmitAnswer answer);
+    void log(std::string event, std::vector<std::pair<std::string, std::string>> fields, bool isWarning = false);
+
+    // cell_leader_jobs.cpp: jobs and callers.
+    void finishJob(TimePoint now, const JobId &id);
+    void submitBestEffort(TimePoint now, CallId call, const std::shared_ptr<CellJob> &job, bool wasOffered);
+    void attachOrphans(CellJob &job);
+    void refuseHopeless(TimePoint now);
+    void refuseUntried(TimePoint now, const std::shared_ptr<CellJob> &job);
+    void finishBestEffort(TimePoint now, const std::shared_ptr<CellJob> &job);
+    std::string_view findRefusal(const CellJob &job) const;
+    std::int64_t openCapacity() const;
+    bool isOverloadedFor(const CellJob &job, TimePoint now) const;
+    void logEnd(TimePoint now, const CellJob &job);
+    PendingAccept *findPending(const JobId &id);
+    bool isBeingStored(const JobId &id) const;
+    void refuse(std::span<const CallId> calls, const CellJob &job, std::string_view reason, std::optional<Duration> retryAfter = {});
+
+    // cell_leader_store.cpp: transactions.
     void onApplied(TimePoint now);
     void onRejected(TimePoint now, const std::vector<Row> &rows);
     void flush(TimePoint now);
@@ -140,21 +159,6 @@
     void addRemovals(TimePoint now, StoreTransaction &transaction);
     bool isCommitDue(TimePoint now) const;
     void noteProgress(TimePoint now, CellJob &job);
-    void finishJob(TimePoint now, const JobId &id);
-    void submitBestEffort(TimePoint now, CallId call, JobId id, JobSpec spec, JobTerms terms, bool wasOffered);
-    void attachOrphans(TimePoint now, CellJob &job);
-    void stopOrphans(TimePoint now);
-    void refuseHopeless(TimePoint now);
-    void refuseUntried(TimePoint now, const std::shared_ptr<CellJob> &job);
-    void finishBestEffort(TimePoint now, const std::shared_ptr<CellJob> &job);
-    void settleRecovery(TimePoint now);
-    std::optional<std::string> findRefusal(const JobSpec &spec, const JobTerms &terms) const;
-    std::int64_t openCapacity() const;
-    bool isOverloadedFor(const CellJob &job, TimePoint now) const;
-    void logEnd(TimePoint now, const CellJob &job);
-    PendingAccept *findPending(const JobId &id);
-    void answer(CallId call, SubmitAnswer answer);
-    void log(std::string event, std::vector<std::pair<std::string, std::string>> fields, bool isWarning = false);
 
     // cell_dispatch.cpp: endpoints and runs.
     bool mayGiveOrders(TimePoint now) const;
--- /dev/null
+++ b/src/cells/cell_leader_store.cpp
@@ -0,0 +1,225 @@
+// The part of the leader that stores jobs and their progress.
+#include "cells/cell_leader.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace Tanagertally::Cells {
+
+namespace {
+
+constexpr std::size_t MaxAcceptsPerTransaction = 24; // Three entries each; the platform takes 100 entries a transaction.
+constexpr std::size_t MaxProgressPerTransaction = 12; // Two entries each.
+constexpr std::size_t MaxRemovalsPerTransaction = 40; // Two entries each.
+constexpr Duration ProgressDelay = std::chrono::milliseconds(300); // Ends are to be acknowledged within 4 s; this groups them.
+constexpr Duration LeadRenewal = std::chrono::seconds(2); // A third of the time after which a leader gives no orders unconfirmed.
+constexpr Duration EndedJobRetention = std::chrono::seconds(150); // The platform asks for the state of jobs for 120 s.
+
+std::string toText(std::uint64_t number)
+{
+    return std::to_string(number);
+}
+
+} // namespace
+
+void CellLeader::onCommitted(TimePoint now, TransactionResult result)
+{
+    if (result.end != TransactionEnd::Applied) {
+        this->log("commit-not-applied", {{"end", toText(static_cast<std::uint64_t>(result.end))}, {"error", result.error}}, true);
+    }
+    std::vector<Row> rows;
+    switch (this->chain.onCommitted(now, std::move(result), rows, this->actions)) {
+    case ChainStep::Waiting:
+        return;
+    case ChainStep::Applied:
+        this->onApplied(now);
+        return;
+    case ChainStep::Rejected:
+        this->onRejected(now, rows);
+        return;
+    case ChainStep::Deposed:
+        this->endLead("another instance leads", false);
+        return;
+    }
+}
+
+void CellLeader::onApplied(TimePoint now)
+{
+    const Batch stored = std::exchange(this->batch, {});
+    if (this->phase == Phase::Claiming) {
+        this->phase = Phase::Recovering;
+        this->claimedAt = now;
+        this->actions.emplace_back(ReadCell{this->options.cell});
+        return;
+    }
+    for (const PendingAccept &accept : stored.accepts) {
+        this->jobs.emplace(accept.job->id, accept.job);
+        this->queueJob(now, *accept.job);
+        this->log("job-accepted", {{"job", accept.job->id.value}, {"queue", accept.job->terms.queue.value}});
+        for (const CallId call : accept.calls) {
+            this->answer(call, {SubmitVerdict::Accepted, {}, {}, {}});
+        }
+    }
+    for (const EndpointName &name : stored.roster) {
+        if (CellEndpoint *endpoint = this->findEndpoint(name)) {
+            endpoint->isRostered = true;
+        }
+    }
+    for (const auto &[id, state] : stored.progress) {
+        for (auto &[name, endpoint] : this->endpoints) {
+            const auto mark = stored.endMarks.find(name);
+            if (mark != stored.endMarks.end()) {
+                endpoint->settleEnds(id, mark->second);
+                endpoint->nextHoldAt = std::min(endpoint->nextHoldAt, now);
+            }
+        }
+        if (isFinal(state) && this->jobs.contains(id)) {
+            this->finishJob(now, id);
+        }
+    }
+    for (const JobId &id : stored.forgotten) {
+        this->ended.erase(id);
+    }
+    if (stored.releases) {
+        this->endLead("released", true);
+        return;
+    }
+    this->pump(now);
+    this->holdEndpoints(now);
+    this->flush(now);
+}
+
+void CellLeader::onRejected(TimePoint now, const std::vector<Row> &rows)
+{
+    // Only the rows of job names have conditions of their own: such a job is stored already, by this cell or another.
+    Batch rejected = std::exchange(this->batch, {});
+    for (auto accept = rejected.accepts.rbegin(); accept != rejected.accepts.rend(); ++accept) {
+        const auto row = std::ranges::find(rows, idKey(accept->job->id), &Row::key);
+        if (row == rows.end() || row->version == RowVersion(0)) {
+            this->pendingAccepts.push_front(std::move(*accept));
+            continue;
+        }
+        this->log("job-known", {{"job", accept->job->id.value}, {"cell", row->value}});
+        for (const CallId call : accept->calls) {
+            this->answer(call, {SubmitVerdict::Accepted, {}, {}, {}});
+        }
+    }
+    for (const auto &[id, state] : rejected.progress) {
+        if (const std::shared_ptr<CellJob> job = this->findJob(id)) {
+            this->noteProgress(now, *job);
+        }
+    }
+    this->isRosterDirty = this->isRosterDirty || !rejected.roster.empty();
+    this->flush(now);
+}
+
+bool CellLeader::isCommitDue(TimePoint now) const
+{
+    if (this->wantsRelease || !this->pendingAccepts.empty() || this->hasUrgentProgress || this->isRosterDirty) {
+        return true;
+    }
+    if (!this->dirtyJobs.empty() && now >= this->dirtySince + ProgressDelay) {
+        return true;
+    }
+    return now >= this->lastCommitAt + LeadRenewal;
+}
+
+void CellLeader::flush(TimePoint now)
+{
+    if (this->phase != Phase::Leading || !this->chain.isIdle() || !this->isCommitDue(now)) {
+        return;
+    }
+    StoreTransaction transaction;
+    this->addAccepts(transaction);
+    this->addProgress(transaction);
+    this->addRoster(transaction);
+    this->addRemovals(now, transaction);
+    this->batch.releases = this->wantsRelease && this->pendingAccepts.empty() && this->dirtyJobs.empty();
+    this->lastCommitAt = now;
+    this->chain.commit(now, std::move(transaction), this->batch.releases, this->actions);
+}
+
+void CellLeader::addAccepts(StoreTransaction &transaction)
+{
+    while (!this->pendingAccepts.empty() && this->batch.accepts.size() < MaxAcceptsPerTransaction) {
+        PendingAccept accept = std::move(this->pendingAccepts.front());
+        this->pendingAccepts.pop_front();
+        const JobId &id = accept.job->id;
+        transaction.conditions.push_back({idKey(id), RowVersion(0)});
+        transaction.writes.push_back({idKey(id), this->options.cell.value});
+        transaction.writes.push_back({jobKey(this->options.cell, id), encodeJob(*accept.job)});
+        this->batch.accepts.push_back(std::move(accept));
+    }
+}
+
+void CellLeader::addProgress(StoreTransaction &transaction)
+{
+    const std::size_t count = std::min(this->dirtyJobs.size(), MaxProgressPerTransaction);
+    for (std::size_t number = 0; number < count; ++number) {
+        const JobId &id = this->dirtyJobs[number];
+        const std::shared_ptr<CellJob> job = this->findJob(id);
+        if (!job) {
+            continue;
+        }
+        transaction.writes.push_back({progressKey(this->options.cell, id), encodeProgress(job->progress())});
+        if (isFinal(job->state)) {
+            transaction.removals.push_back(jobKey(this->options.cell, id));
+        }
+        this->batch.progress.emplace_back(id, job->state);
+    }
+    this->dirtyJobs.erase(this->dirtyJobs.begin(), this->dirtyJobs.begin() + static_cast<std::ptrdiff_t>(count));
+    this->hasUrgentProgress = std::ranges::any_of(this->dirtyJobs, [this](const JobId &id) {
+        const std::shared_ptr<CellJob> job = this->findJob(id);
+        return job && isFinal(job->state);
+    });
+    for (const auto &[name, endpoint] : this->endpoints) {
+        if (endpoint->hasUnsettledEnds()) {
+            this->batch.endMarks.emplace(name, endpoint->lastListedEnd());
+        }
+    }
+}
+
+void CellLeader::addRemovals(TimePoint now, StoreTransaction &transaction)
+{
+    if (!this->batch.accepts.empty() || !this->batch.progress.empty()) {
+        return; // Such a transaction is waited for.
+    }
+    for (const auto &[id, job] : this->ended) {
+        if (this->batch.forgotten.size() == MaxRemovalsPerTransaction) {
+            return;
+        }
+        if (job.endedAt + EndedJobRetention < now) {
+            transaction.removals.push_back(progressKey(this->options.cell, id));
+            transaction.removals.push_back(idKey(id));
+            this->batch.forgotten.push_back(id);
+        }
+    }
+}
+
+void CellLeader::addRoster(StoreTransaction &transaction)
+{
+    if (!this->isRosterDirty) {
+        return;
+    }
+    this->isRosterDirty = false;
+    std::vector<EndpointRecord> roster;
+    for (const auto &[name, endpoint] : this->endpoints) {
+        roster.push_back(endpoint->record);
+        this->batch.roster.push_back(name);
+    }
+    transaction.writes.push_back({rosterKey(this->options.cell), encodeRoster(roster)});
+}
+
+void CellLeader::noteProgress(TimePoint now, CellJob &job)
+{
+    assert(!job.spec.isBestEffort);
+    if (std::ranges::find(this->dirtyJobs, job.id) == this->dirtyJobs.end()) {
+        if (this->dirtyJobs.empty()) {
+            this->dirtySince = now;
+        }
+        this->dirtyJobs.push_back(job.id);
+    }
+    this->hasUrgentProgress = this->hasUrgentProgress || isFinal(job.state);
+}
+
+} // namespace Tanagertally::Cells
--- a/src/cells/endpoint_health.cpp
+++ b/src/cells/endpoint_health.cpp
@@ -53,7 +53,7 @@
     this->ratioAt = now;
 }
 
-bool EndpointHealth::isSuspect(TimePoint) const
+bool EndpointHealth::isSuspect() const
 {
     return this->failuresInRow >= FailuresUntilSuspect;
 }
--- a/src/cells/endpoint_health.h
+++ b/src/cells/endpoint_health.h
@@ -29,7 +29,7 @@
     void noteOverdue(TimePoint now, Duration elapsed, Duration estimate);
 
     /** @return Whether the endpoint should get no more than one run at a time, as a trial, and none before the trial is due. */
-    bool isSuspect(TimePoint now) const;
+    bool isSuspect() const;
 
     /** @return Whether a trial run may start on a suspect endpoint. */
     bool isTrialDue(TimePoint now) const;
--- a/src/cells/job_type.h
+++ b/src/cells/job_type.h
@@ -20,6 +20,12 @@
     std::uint32_t maxPerEndpoint = 0; ///< Most tasks of the step that run on one endpoint; 0 for no limit.
 };
 
+/** @return Work of one task of a step in core-milliseconds, by the caller's estimate. */
+inline double workOf(const StepSpec &step)
+{
+    return std::chrono::duration<double, std::milli>(step.estimate).count() * static_cast<double>(step.demand.cpu) / 1000;
+}
+
 /** What a job consists of. */
 struct JobSpec {
     std::shared_ptr<const std::string> payload; ///< Handed to each task as it is.
--- a/src/cells/tests/health_test.cpp
+++ b/src/cells/tests/health_test.cpp
@@ -23,15 +23,15 @@
 {
     EndpointHealth health;
     health.noteFailed(Start, job(1));
-    BOOST_TEST(!health.isSuspect(Start));
+    BOOST_TEST(!health.isSuspect());
     health.noteFailed(Start, job(2));
-    BOOST_TEST(health.isSuspect(Start));
+    BOOST_TEST(health.isSuspect());
     BOOST_TEST(!health.isTrialDue(Start + 100ms));
     BOOST_TEST(health.isTrialDue(Start + 500ms));
     health.noteFailed(Start + 500ms, job(3));
     BOOST_TEST(!health.isTrialDue(Start + 1s));
     health.noteDone(Start + 2s, 60ms, 60ms);
-    BOOST_TEST(!health.isSuspect(Start + 2s));
+    BOOST_TEST(!health.isSuspect());
 }
 
 BOOST_AUTO_TEST_CASE(JobThatFailsByItsOwnFaultDoesNotCondemnAnEndpoint)
@@ -40,7 +40,7 @@
     for (int count = 0; count < 5; ++count) {
         health.noteFailed(Start, job(1));
     }
-    BOOST_TEST(!health.isSuspect(Start));
+    BOOST_TEST(!health.isSuspect());
 }
 
 BOOST_AUTO_TEST_CASE(SlowEndpointIsKnownWithinThreeRunsAndForgivenWithinSeconds)
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -97,8 +97,7 @@
     const auto &[spec, terms] = *pending.job;
     CellDemand demand;
     for (const StepSpec &step : spec.steps) {
-        demand.work
-            += std::chrono::duration<double, std::milli>(step.estimate).count() * static_cast<double>(step.demand.cpu) * step.count / 1000;
+        demand.work += workOf(step) * step.count;
         if (demand.affinity.empty()) {
             demand.affinity = step.affinity;
         }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -138,6 +138,7 @@
     void runAction(const CellName &cell, std::uint64_t generation, CellAction &&action);
     void readCell(const CellName &cell, std::uint64_t generation, std::shared_ptr<CellContent> content, std::size_t table,
                   const std::string &from);
+    std::vector<EndpointRecord> endpointsOf(const CellName &cell) const;
     template<typename Use>
     void withLeader(const CellName &cell, std::uint64_t generation, Use use);
     void planLeads(TimePoint now);
@@ -153,8 +154,8 @@
     void withdrawCall(CallId call);
     void onAskerLost(LinkHandle connection);
     void onPeerLost(const InstanceName &peer, bool wasRefused);
-    bool isMemberAlive(const Member &member, TimePoint now) const;
-    std::vector<LeadCandidate> candidates(TimePoint now) const;
+    bool isMemberAlive(const Member &member) const;
+    std::vector<LeadCandidate> candidates() const;
     void log(std::string event, std::vector<std::pair<std::string, std::string>> fields, bool isWarning = false) const;
     void callLater(Duration delay, std::function<void()> task);
 
--- a/src/node/node_cells.cpp
+++ b/src/node/node_cells.cpp
@@ -69,14 +69,19 @@
         names.push_back(cell);
     }
     for (const CellName &cell : names) {
-        std::vector<EndpointRecord> own;
-        std::ranges::copy_if(this->endpoints, std::back_inserter(own),
-                             [&cell](const EndpointRecord &record) { return record.domain.value == cell.value; });
-        this->led.at(cell).leader->setEndpoints(this->ports.now(), own);
+        this->led.at(cell).leader->setEndpoints(this->ports.now(), this->endpointsOf(cell));
         this->runActions(cell);
     }
 }
 
+std::vector<EndpointRecord> Node::endpointsOf(const CellName &cell) const
+{
+    std::vector<EndpointRecord> own;
+    std::ranges::copy_if(this->endpoints, std::back_inserter(own),
+                         [&cell](const EndpointRecord &record) { return record.domain.value == cell.value; });
+    return own;
+}
+
 template<typename Use>
 void Node::withLeader(const CellName &cell, std::uint64_t generation, Use use)
 {
@@ -142,9 +147,9 @@
             },
             [&](AnswerSubmission &reply) { this->onSubmitAnswer(reply.call, std::move(reply.answer)); },
             [&](AnswerCancel &reply) { this->onJobAnswer(reply.call, reply.answer); },
-            [&](LeadEnded &ended) {
+            [&](LeadEnded &) {
+                CellView &view = this->cells.at(cell);
                 this->led.erase(cell);
-                CellView &view = this->cells.at(ended.cell);
                 if (view.leader == this->options.self.name) {
                     view.leader = InstanceName();
                     view.takesJobs = false;
@@ -214,7 +219,7 @@
     if (this->isLeaving || now < this->startedAt + SettleTime || this->membersReadAt == TimePoint() || !this->areEndpointsKnown) {
         return;
     }
-    const std::vector<LeadCandidate> able = this->candidates(now);
+    const std::vector<LeadCandidate> able = this->candidates();
     for (auto &[cell, view] : this->cells) {
         if (this->led.contains(cell)) {
             continue;
@@ -253,10 +258,7 @@
     entry.generation = ++this->lastGeneration;
     entry.leader = std::make_unique<CellLeader>(
         CellLeaderOptions{cell, this->options.self.name, this->options.self.incarnation, this->options.lease}, this->ports.now());
-    std::vector<EndpointRecord> own;
-    std::ranges::copy_if(this->endpoints, std::back_inserter(own),
-                         [&cell](const EndpointRecord &record) { return record.domain.value == cell.value; });
-    entry.leader->setEndpoints(this->ports.now(), own);
+    entry.leader->setEndpoints(this->ports.now(), this->endpointsOf(cell));
     this->runActions(cell);
 }
 
@@ -267,7 +269,7 @@
             continue;
         }
         const bool hasLocal = std::ranges::any_of(this->members, [&, name = cell](const auto &member) {
-            return member.second.record.domain.value == name.value && this->isMemberAlive(member.second, now)
+            return member.second.record.domain.value == name.value && this->isMemberAlive(member.second)
                    && this->links.isLinked(member.first);
         });
         if (hasLocal) {
@@ -526,13 +528,12 @@
     }
 }
 
-bool Node::isMemberAlive(const Member &member, TimePoint now) const
+bool Node::isMemberAlive(const Member &member) const
 {
-    static_cast<void>(now);
     return !member.isLeaving && this->membersReadAt - member.changedAt <= this->limits.rowSilence;
 }
 
-std::vector<LeadCandidate> Node::candidates(TimePoint now) const
+std::vector<LeadCandidate> Node::candidates() const
 {
     std::vector<LeadCandidate> result;
     const auto countLed = [this](const InstanceName &name) {
@@ -542,7 +543,7 @@
     const InstanceRecord &self = this->options.self;
     result.push_back({self.name, self.domain, self.coreShare, countLed(self.name)});
     for (const auto &[name, member] : this->members) {
-        if (this->isMemberAlive(member, now) && this->links.isLinked(name)) {
+        if (this->isMemberAlive(member) && this->links.isLinked(name)) {
             result.push_back({name, member.record.domain, member.record.coreShare, countLed(name)});
         }
     }
