The virtual world's store and endpoints are models of their own

Cause: the store and the endpoints of CellWorld could be used only inside that world; stand-ins for process tests and a soak need the same rules (fencing, leases, ends, conditions, history) behind sockets. Ruled out: a second set of rules in the stand-ins; they would drift apart from the world's.

--- a/src/cells/tests/cell_world.cpp
+++ b/src/cells/tests/cell_world.cpp
@@ -12,7 +12,6 @@
 constexpr Duration StoreDelay = std::chrono::milliseconds(5);
 constexpr Duration OrderDelay = std::chrono::milliseconds(1);
 constexpr Duration AnswerTimeout = std::chrono::milliseconds(400);
-constexpr Duration StopTime = std::chrono::milliseconds(20);
 
 Duration milliseconds(std::int64_t count)
 {
@@ -26,7 +25,7 @@
     , random(seed)
 {
     for (std::size_t number = 0; number < endpointCount; ++number) {
-        WorldEndpoint endpoint;
+        EndpointModel endpoint;
         endpoint.record.name = EndpointName("e" + std::to_string(number));
         endpoint.record.service = ServiceName("service");
         endpoint.record.address = NetAddress("10.0.0." + std::to_string(number) + ":1");
@@ -50,7 +49,7 @@
 void CellWorld::register_(std::size_t leader)
 {
     std::vector<EndpointRecord> records;
-    for (const WorldEndpoint &endpoint : this->endpoints) {
+    for (const EndpointModel &endpoint : this->endpoints) {
         if (endpoint.isUp) {
             records.push_back(endpoint.record);
         }
@@ -72,14 +71,14 @@
         while (!this->queue.empty() && this->queue.begin()->first <= next) {
             auto entry = this->queue.extract(this->queue.begin());
             this->now = std::max(this->now, entry.key());
-            for (WorldEndpoint &endpoint : this->endpoints) {
-                this->advanceEndpoint(endpoint);
+            for (EndpointModel &endpoint : this->endpoints) {
+                endpoint.advance(this->now);
             }
             entry.mapped()();
         }
         this->now = next;
-        for (WorldEndpoint &endpoint : this->endpoints) {
-            this->advanceEndpoint(endpoint);
+        for (EndpointModel &endpoint : this->endpoints) {
+            endpoint.advance(this->now);
         }
         this->onTick();
         for (std::size_t leader = 0; leader < this->leaders.size(); ++leader) {
@@ -136,11 +135,6 @@
     return found != this->leaders[leader].submitAnswers.end() && found->second.verdict == SubmitVerdict::Accepted;
 }
 
-std::size_t CellWorld::rowCount() const
-{
-    return this->rows.size();
-}
-
 std::size_t CellWorld::startsOf(const TaskRef &task) const
 {
     const auto found = this->starts.find(task);
@@ -208,11 +202,14 @@
         TransactionResult refused;
         refused.end = TransactionEnd::NotDone;
         this->call(
-            index, this->storeFate(), StoreDelay, [this, transaction = commit->transaction] { return this->apply(transaction); }, refused,
-            TransactionResult(), [this, leader](const TransactionResult &result) { leader().onCommitted(this->now, result); });
+            index, this->storeFate(), StoreDelay, [this, transaction = commit->transaction] { return this->store.apply(transaction); },
+            refused, TransactionResult(), [this, leader](const TransactionResult &result) { leader().onCommitted(this->now, result); });
     } else if (auto *read = std::get_if<ReadLead>(&action)) {
         this->call(
-            index, this->storeFate(), StoreDelay, [this, key = read->key] { return this->readRange(key.table, key.part, key.key); },
+            index, this->storeFate(), StoreDelay,
+            [this, key = read->key] {
+                return this->store.read({key.table, key.part, key.key, 0});
+            },
             ReadResult(), ReadResult(), [this, leader](const ReadResult &result) { leader().onLeadRead(this->now, result); });
     } else if (auto *cell = std::get_if<ReadCell>(&action)) {
         this->call(
@@ -249,61 +246,18 @@
     }
 }
 
-TransactionResult CellWorld::apply(const StoreTransaction &transaction)
-{
-    TransactionResult result;
-    const auto nameOf = [](const RowKey &key) { return std::tuple(key.table, key.part, key.key); };
-    bool holds = true;
-    for (const RowCondition &condition : transaction.conditions) {
-        const auto row = this->rows.find(nameOf(condition.key));
-        const RowVersion found = row == this->rows.end() ? RowVersion(0) : row->second.second;
-        holds = holds && found == condition.version;
-        if (row != this->rows.end()) {
-            result.rows.push_back({condition.key, row->second.first, found, false});
-        }
-    }
-    if (!holds) {
-        result.end = TransactionEnd::Conflict;
-        return result;
-    }
-    result.rows.clear();
-    result.end = TransactionEnd::Applied;
-    result.version = RowVersion(++this->version);
-    for (const RowWrite &write : transaction.writes) {
-        this->rows[nameOf(write.key)] = {write.value, result.version};
-    }
-    for (const RowKey &key : transaction.removals) {
-        this->rows.erase(nameOf(key));
-    }
-    return result;
-}
-
-ReadResult CellWorld::readRange(const std::string &table, const std::string &part, const std::string &from)
-{
-    ReadResult result;
-    result.isAnswered = true;
-    result.version = RowVersion(this->version);
-    for (const auto &[name, row] : this->rows) {
-        const auto &[rowTable, rowPart, key] = name;
-        if (rowTable == table && rowPart == part && key >= from) {
-            result.rows.push_back({{rowTable, rowPart, key}, row.first, row.second, false});
-        }
-    }
-    return result;
-}
-
 CellContent CellWorld::readContent(const CellName &cell)
 {
     CellContent content;
-    for (const Row &row : this->readRange(std::string(CellsTable), cell.value, "").rows) {
+    for (const Row &row : this->store.read({std::string(CellsTable), cell.value, "", 0}).rows) {
         if (row.key == rosterKey(cell)) {
             content.roster = decodeRoster(row.value).value();
         }
     }
-    for (const Row &row : this->readRange(std::string(ProgressTable), cell.value, "").rows) {
+    for (const Row &row : this->store.read({std::string(ProgressTable), cell.value, "", 0}).rows) {
         content.progress.push_back({JobId(row.key.key), decodeProgress(row.value).value()});
     }
-    for (const Row &row : this->readRange(std::string(JobsTable), cell.value, "").rows) {
+    for (const Row &row : this->store.read({std::string(JobsTable), cell.value, "", 0}).rows) {
         content.jobs.push_back(decodeJob(JobId(row.key.key), row.value).value());
     }
     return content;
@@ -311,44 +265,18 @@
 
 StartResult CellWorld::start(const StartRun &order)
 {
-    WorldEndpoint &endpoint = *this->find(order.endpoint);
-    using Kind = StartResult::Kind;
-    if (!endpoint.isUp) {
-        return {Kind::Unknown, ""};
-    }
-    this->advanceEndpoint(endpoint);
-    if (order.token < endpoint.token) {
-        return {Kind::Fenced, "fence"};
-    }
-    endpoint.token = order.token;
-    const std::int64_t clock = this->clockOf(endpoint);
-    if (order.deadlineMs < clock) {
-        return {Kind::TooLate, "late"};
-    }
-    const Duration granted = std::min<Duration>(milliseconds(order.deadlineMs - clock), LeaseTerms().longest);
-    endpoint.leaseUntil = std::max(endpoint.leaseUntil, this->now + granted);
-    const auto over = endpoint.over.find(order.task);
-    if (over != endpoint.over.end() && order.run <= over->second) {
-        return {Kind::Superseded, "old"};
-    }
-    const auto same = std::ranges::find(endpoint.runs, order.task, &WorldRun::task);
-    if (same != endpoint.runs.end()) {
-        return same->run == order.run ? StartResult{Kind::Started, ""} : StartResult{Kind::Superseded, "old"};
-    }
-    if (endpoint.hasNoRoom || endpoint.runs.size() >= 2) {
-        return {Kind::NoRoom, "room"};
-    }
-    this->checkStart(order.task, order.run);
-    endpoint.runs.push_back({order.task, order.run, this->now, this->now + this->workTime, this->runOutcome()});
-    return {Kind::Started, ""};
+    return this->find(order.endpoint)->start(this->now, order, [this](const StartRun &begun) {
+        this->checkStart(begun.task, begun.run);
+        return RunPlan{this->workTime, this->runOutcome()};
+    });
 }
 
 void CellWorld::checkStart(const TaskRef &task, RunNumber run)
 {
     ++this->startCount;
     this->starts[task].push_back(run);
-    for (const WorldEndpoint &endpoint : this->endpoints) {
-        if (endpoint.isUp && std::ranges::find(endpoint.runs, task, &WorldRun::task) != endpoint.runs.end()) {
+    for (const EndpointModel &endpoint : this->endpoints) {
+        if (endpoint.runsTask(task)) {
             this->violations.push_back("two runs at a time of " + task.job.value + "." + std::to_string(task.index));
         }
     }
@@ -359,94 +287,17 @@
 
 StopResult CellWorld::stop(const StopRun &order)
 {
-    WorldEndpoint &endpoint = *this->find(order.endpoint);
-    if (!endpoint.isUp) {
-        return StopResult::Unknown;
-    }
-    if (order.token < endpoint.token) {
-        return StopResult::Fenced;
-    }
-    endpoint.token = order.token;
-    auto &over = endpoint.over[order.task];
-    over = std::max(over, order.run);
-    const auto run = std::ranges::find(endpoint.runs, order.task, &WorldRun::task);
-    if (run != endpoint.runs.end() && run->run <= order.run) {
-        run->outcome = RunEnd::Stopped;
-        run->endsAt = std::min(run->endsAt, this->now + StopTime);
-    }
-    return StopResult::Confirmed;
+    return this->find(order.endpoint)->stop(this->now, order);
 }
 
 HoldResult CellWorld::hold(const HoldEndpoint &order)
 {
-    WorldEndpoint &endpoint = *this->find(order.endpoint);
-    HoldResult result;
-    if (!endpoint.isUp) {
-        return result;
-    }
-    this->advanceEndpoint(endpoint);
-    if (order.token < endpoint.token) {
-        result.kind = HoldResult::Kind::Fenced;
-        return result;
-    }
-    endpoint.token = order.token;
-    const std::int64_t clock = this->clockOf(endpoint);
-    if (order.deadlineMs && *order.deadlineMs > clock) {
-        const Duration granted = std::min<Duration>(milliseconds(*order.deadlineMs - clock), LeaseTerms().longest);
-        endpoint.leaseUntil = std::max(endpoint.leaseUntil, this->now + granted);
-    }
-    std::erase_if(endpoint.ends, [&](const WorldEnd &end) {
-        const bool isNoted = end.listed.number <= order.acknowledged;
-        if (isNoted && end.listed.end == RunEnd::Done && !end.hasLapsedSince) {
-            this->notedDone.emplace(end.listed.task, this->now);
-        }
-        return isNoted;
-    });
-    result.kind = HoldResult::Kind::Answered;
-    result.clockMs = clock;
-    for (const WorldRun &run : endpoint.runs) {
-        result.running.push_back({run.task, run.run, 0});
-    }
-    for (const WorldEnd &end : endpoint.ends) {
-        result.finished.push_back(end.listed);
-    }
-    return result;
-}
-
-WorldEndpoint *CellWorld::find(const EndpointName &name)
-{
-    return &*std::ranges::find_if(this->endpoints, [&name](const WorldEndpoint &endpoint) { return endpoint.record.name == name; });
-}
-
-std::int64_t CellWorld::clockOf(const WorldEndpoint &endpoint) const
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(this->now.time_since_epoch()).count() + endpoint.clockOffsetMs;
-}
-
-void CellWorld::advanceEndpoint(WorldEndpoint &endpoint)
-{
-    for (std::size_t index = endpoint.runs.size(); index-- > 0;) {
-        const WorldRun &run = endpoint.runs[index];
-        if (run.endsAt <= this->now && run.endsAt <= endpoint.leaseUntil) {
-            this->endRun(endpoint, index, run.outcome);
-        } else if (endpoint.leaseUntil < this->now) {
-            this->endRun(endpoint, index, RunEnd::Lapsed);
-        }
-    }
-    if (endpoint.leaseUntil < this->now) {
-        for (WorldEnd &end : endpoint.ends) {
-            end.hasLapsedSince = true;
-        }
-    }
+    return this->find(order.endpoint)->hold(this->now, order, [this](const TaskRef &task) { this->notedDone.emplace(task, this->now); });
 }
 
-void CellWorld::endRun(WorldEndpoint &endpoint, std::size_t index, RunEnd end)
+EndpointModel *CellWorld::find(const EndpointName &name)
 {
-    const WorldRun run = endpoint.runs[index];
-    endpoint.runs.erase(endpoint.runs.begin() + static_cast<std::ptrdiff_t>(index));
-    auto &over = endpoint.over[run.task];
-    over = std::max(over, run.run);
-    endpoint.ends.push_back({{++endpoint.lastEnd, run.task, run.run, end}, this->now, false});
+    return &*std::ranges::find_if(this->endpoints, [&name](const EndpointModel &endpoint) { return endpoint.record.name == name; });
 }
 
 } // namespace Tanagertally::Cells::Test
--- a/src/cells/tests/cell_world.h
+++ b/src/cells/tests/cell_world.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include "cells/cell_leader.h"
+#include "cells/tests/endpoint_model.h"
+#include "cells/tests/store_model.h"
 #include "core/random_base.h"
 
 #include <functional>
@@ -18,37 +20,6 @@
     Lost, ///< It is lost.
 };
 
-/** One run on an endpoint. */
-struct WorldRun {
-    TaskRef task; ///< The task.
-    RunNumber run; ///< Its number.
-    TimePoint startedAt; ///< When it started.
-    TimePoint endsAt; ///< When its work is done.
-    RunEnd outcome = RunEnd::Done; ///< How it ends then.
-};
-
-/** An end that an endpoint lists. */
-struct WorldEnd {
-    ListedEnd listed; ///< As listed.
-    TimePoint at; ///< When it ended.
-    bool hasLapsedSince = false; ///< Whether the endpoint's lease ran out before the end was acknowledged.
-};
-
-/** An endpoint. */
-struct WorldEndpoint {
-    EndpointRecord record; ///< As registered.
-    bool isUp = true; ///< Whether it runs.
-    bool isReachable = true; ///< Whether calls reach it.
-    bool hasNoRoom = false; ///< Whether something else fills it.
-    std::int64_t clockOffsetMs = 0; ///< Its clock against the world's.
-    TimePoint leaseUntil; ///< End of its lease.
-    FenceToken token; ///< Highest token seen.
-    std::vector<WorldRun> runs; ///< What runs.
-    std::vector<WorldEnd> ends; ///< What is listed.
-    std::uint64_t lastEnd = 0; ///< Number of the last end.
-    std::map<TaskRef, RunNumber> over; ///< Highest run that was stopped or ended, by task.
-};
-
 /** A leader with what the world knows of it. */
 struct WorldLeader {
     std::unique_ptr<CellLeader> leader; ///< The leader.
@@ -69,7 +40,8 @@
 
     TimePoint now; ///< The virtual time.
     RandomEngine random; ///< Drawn from by faults and run times.
-    std::vector<WorldEndpoint> endpoints; ///< The endpoints.
+    std::vector<EndpointModel> endpoints; ///< The endpoints.
+    StoreModel store; ///< The store.
     std::vector<WorldLeader> leaders; ///< All leaders that there ever were.
     std::vector<std::string> violations; ///< Promises that were broken.
     std::function<CallFate()> storeFate = [] { return CallFate::Answered; }; ///< Of each transaction and read.
@@ -107,28 +79,19 @@
     /** @return Whether a call was answered with acceptance. */
     bool isAccepted(std::size_t leader, CallId call) const;
 
-    /** @return Number of rows in the store. */
-    std::size_t rowCount() const;
-
     /** @return Number of runs that started, of one task. */
     std::size_t startsOf(const TaskRef &task) const;
 
     /** Do something later. */
     void at(TimePoint time, std::function<void()> handler);
 
-    /** Carry out a transaction now. */
-    TransactionResult apply(const StoreTransaction &transaction);
-
-    /** Read rows now. */
-    ReadResult readRange(const std::string &table, const std::string &part, const std::string &from);
-
     /** Carry out orders now. */
     StartResult start(const StartRun &order);
     StopResult stop(const StopRun &order);
     HoldResult hold(const HoldEndpoint &order);
 
     /** @return An endpoint. */
-    WorldEndpoint *find(const EndpointName &name);
+    EndpointModel *find(const EndpointName &name);
 
     std::function<void()> onTick = [] {}; ///< Called every 10 ms.
 
@@ -139,16 +102,11 @@
     void deliver(std::size_t leader, Handler handler);
     void carryOut(std::size_t leader, CellAction &action);
     CellContent readContent(const CellName &cell);
-    std::int64_t clockOf(const WorldEndpoint &endpoint) const;
-    void advanceEndpoint(WorldEndpoint &endpoint);
-    void endRun(WorldEndpoint &endpoint, std::size_t index, RunEnd end);
     void checkStart(const TaskRef &task, RunNumber run);
     template<typename Result, typename Do, typename Hand>
     void call(std::size_t leader, CallFate fate, Duration delay, Do carry, Result refused, Result unknown, Hand hand);
 
     std::multimap<TimePoint, Handler> queue; ///< What happens later.
-    std::map<std::tuple<std::string, std::string, std::string>, std::pair<std::string, RowVersion>> rows; ///< The store.
-    std::uint64_t version = 0; ///< Of the store.
     std::uint64_t lastCall = 0; ///< Last number given to a call.
     std::map<TaskRef, std::vector<RunNumber>> starts; ///< Runs by task.
     std::map<TaskRef, TimePoint> notedDone; ///< Tasks whose good end was acknowledged.
--- /dev/null
+++ b/src/cells/tests/endpoint_model.cpp
@@ -0,0 +1,156 @@
+#include "cells/tests/endpoint_model.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Tanagertally::Cells::Test {
+
+namespace {
+
+constexpr Duration StopTime = std::chrono::milliseconds(20);
+
+} // namespace
+
+std::int64_t EndpointModel::clockMs(TimePoint now) const
+{
+    const double worldMs = std::chrono::duration<double, std::milli>(now.time_since_epoch()).count();
+    return std::llround(std::floor(worldMs * this->clockRate)) + this->clockOffsetMs;
+}
+
+void EndpointModel::advance(TimePoint now)
+{
+    for (std::size_t index = this->runs.size(); index-- > 0;) {
+        const ModelRun &run = this->runs[index];
+        if (run.endsAt <= now && run.endsAt <= this->leaseUntil) {
+            this->endRun(now, index, run.outcome);
+        } else if (this->leaseUntil < now) {
+            this->endRun(now, index, RunEnd::Lapsed);
+        }
+    }
+    if (this->leaseUntil < now) {
+        for (ModelEnd &end : this->ends) {
+            end.hasLapsedSince = true;
+        }
+    }
+}
+
+StartResult EndpointModel::start(TimePoint now, const StartRun &order, const Begin &begin)
+{
+    using Kind = StartResult::Kind;
+    if (!this->isUp) {
+        return {Kind::Unknown, ""};
+    }
+    this->advance(now);
+    if (order.token < this->token) {
+        return {Kind::Fenced, "fence"};
+    }
+    this->token = order.token;
+    if (order.deadlineMs < this->clockMs(now)) {
+        return {Kind::TooLate, "late"};
+    }
+    this->grant(now, order.deadlineMs);
+    const auto ended = this->over.find(order.task);
+    if (ended != this->over.end() && order.run <= ended->second) {
+        return {Kind::Superseded, "old"};
+    }
+    const auto same = std::ranges::find(this->runs, order.task, &ModelRun::task);
+    if (same != this->runs.end()) {
+        return same->run == order.run ? StartResult{Kind::Started, ""} : StartResult{Kind::Superseded, "old"};
+    }
+    if (this->hasNoRoom || this->runs.size() >= this->places) {
+        return {Kind::NoRoom, "room"};
+    }
+    const RunPlan plan = begin(order);
+    this->runs.push_back({order.task, order.run, now, now + plan.work, plan.outcome});
+    return {Kind::Started, ""};
+}
+
+StopResult EndpointModel::stop(TimePoint now, const StopRun &order)
+{
+    if (!this->isUp) {
+        return StopResult::Unknown;
+    }
+    this->advance(now);
+    if (order.token < this->token) {
+        return StopResult::Fenced;
+    }
+    this->token = order.token;
+    auto &highest = this->over[order.task];
+    highest = std::max(highest, order.run);
+    const auto run = std::ranges::find(this->runs, order.task, &ModelRun::task);
+    if (run != this->runs.end() && run->run <= order.run) {
+        run->outcome = RunEnd::Stopped;
+        run->endsAt = std::min(run->endsAt, now + StopTime);
+    }
+    return StopResult::Confirmed;
+}
+
+HoldResult EndpointModel::hold(TimePoint now, const HoldEndpoint &order, const NoteDone &noteDone)
+{
+    HoldResult result;
+    if (!this->isUp) {
+        return result;
+    }
+    this->advance(now);
+    if (order.token < this->token) {
+        result.kind = HoldResult::Kind::Fenced;
+        return result;
+    }
+    this->token = order.token;
+    if (order.deadlineMs) {
+        this->grant(now, *order.deadlineMs);
+    }
+    std::erase_if(this->ends, [&](const ModelEnd &end) {
+        const bool isNoted = end.listed.number <= order.acknowledged;
+        if (isNoted && end.listed.end == RunEnd::Done && !end.hasLapsedSince) {
+            noteDone(end.listed.task);
+        }
+        return isNoted;
+    });
+    result.kind = HoldResult::Kind::Answered;
+    result.clockMs = this->clockMs(now);
+    for (const ModelRun &run : this->runs) {
+        result.running.push_back({run.task, run.run, 0});
+    }
+    for (const ModelEnd &end : this->ends) {
+        result.finished.push_back(end.listed);
+    }
+    return result;
+}
+
+bool EndpointModel::runsTask(const TaskRef &task) const
+{
+    return this->isUp && std::ranges::find(this->runs, task, &ModelRun::task) != this->runs.end();
+}
+
+void EndpointModel::beginLife(EndpointName name)
+{
+    this->record.name = std::move(name);
+    this->leaseUntil = {};
+    this->token = {};
+    this->runs.clear();
+    this->ends.clear();
+    this->lastEnd = 0;
+    this->over.clear();
+}
+
+void EndpointModel::grant(TimePoint now, std::int64_t deadlineMs)
+{
+    const Duration asked = std::chrono::milliseconds(deadlineMs - this->clockMs(now));
+    const auto granted = std::min<Duration>(asked, LeaseTerms().longest) / this->clockRate;
+    if (asked > Duration{}) {
+        this->leaseUntil = std::max(this->leaseUntil, now + std::chrono::duration_cast<Duration>(granted));
+    }
+}
+
+void EndpointModel::endRun(TimePoint now, std::size_t index, RunEnd end)
+{
+    const ModelRun run = this->runs[index];
+    this->runs.erase(this->runs.begin() + static_cast<std::ptrdiff_t>(index));
+    auto &highest = this->over[run.task];
+    highest = std::max(highest, run.run);
+    this->ends.push_back({{++this->lastEnd, run.task, run.run, end}, now, false});
+    this->onEnd(this->ends.back().listed);
+}
+
+} // namespace Tanagertally::Cells::Test
--- a/src/cells/tests/leader_test.cpp
+++ b/src/cells/tests/leader_test.cpp
@@ -80,14 +80,14 @@
 BOOST_FIXTURE_TEST_CASE(RowsOfEndedJobsAreRemovedOnceNobodyAsksForThem, OneLeader)
 {
     this->world.pass(100ms);
-    const std::size_t before = this->world.rowCount();
+    const std::size_t before = this->world.store.rowCount();
     this->world.submit(this->leader, Job, 2);
     BOOST_TEST(this->becomes(Job, JobState::Done));
-    BOOST_TEST(this->world.rowCount() == before + 2);
+    BOOST_TEST(this->world.store.rowCount() == before + 2);
     this->world.pass(120s);
     BOOST_TEST(this->world.shows(this->leader, Job, JobState::Done));
     this->world.pass(40s);
-    BOOST_TEST(this->world.rowCount() == before);
+    BOOST_TEST(this->world.store.rowCount() == before);
     BOOST_TEST((this->world.leaders[0].leader->query(Job).kind == JobAnswer::Kind::NoSuchJob));
 }
 
@@ -245,7 +245,7 @@
     this->world.submit(this->leader, Job, 4, true);
     const CallId call = this->world.submit(this->leader, JobId("00000000000000a2"), 4, true);
     this->world.pass(100ms);
-    for (WorldEndpoint &endpoint : this->world.endpoints) {
+    for (EndpointModel &endpoint : this->world.endpoints) {
         endpoint.isReachable = false; // Nothing can be started, so nothing is looked at again.
     }
     BOOST_TEST(this->world.leaders[0].leader->load().waitingWork > 0);
@@ -256,12 +256,12 @@
 BOOST_FIXTURE_TEST_CASE(TaskThatEndpointsRefuseForHoursIsStillStartedInTheEnd, OneLeader)
 {
     this->world.pass(100ms);
-    for (WorldEndpoint &endpoint : this->world.endpoints) {
+    for (EndpointModel &endpoint : this->world.endpoints) {
         endpoint.hasNoRoom = true;
     }
     this->world.submit(this->leader, Job, 1);
     this->world.pass(60s); // With two endpoints that are tried again after 50 ms, far over a thousand orders.
-    for (WorldEndpoint &endpoint : this->world.endpoints) {
+    for (EndpointModel &endpoint : this->world.endpoints) {
         endpoint.hasNoRoom = false;
     }
     BOOST_TEST(this->becomes(Job, JobState::Done));
@@ -272,13 +272,13 @@
     this->world.workTime = 10s;
     this->world.submit(this->leader, Job, 3);
     this->world.pass(100ms);
-    for (WorldEndpoint &endpoint : this->world.endpoints) {
+    for (EndpointModel &endpoint : this->world.endpoints) {
         endpoint.isReachable = false; // The stops are lost, and the cancelling is stored.
     }
     this->world.cancel(this->leader, Job);
     this->world.pass(50ms);
     this->world.leaders[0].isUp = false;
-    for (WorldEndpoint &endpoint : this->world.endpoints) {
+    for (EndpointModel &endpoint : this->world.endpoints) {
         endpoint.isReachable = true;
     }
     this->leader = this->world.addLeader();
--- a/src/cells/tests/random_test.cpp
+++ b/src/cells/tests/random_test.cpp
@@ -66,7 +66,7 @@
             world.endpoints[drawBelow(world.random, 4)].isReachable = false;
             break;
         case 4:
-            for (WorldEndpoint &endpoint : world.endpoints) {
+            for (EndpointModel &endpoint : world.endpoints) {
                 endpoint.isReachable = true;
             }
             break;
@@ -88,7 +88,7 @@
         }
     }
     faultPercent = 0;
-    for (WorldEndpoint &endpoint : world.endpoints) {
+    for (EndpointModel &endpoint : world.endpoints) {
         endpoint.isReachable = true;
     }
     // Several leaders may still be taking the lead from each other; the fleet goes on until one of them has it.
--- a/src/node/tests/calls_test.cpp
+++ b/src/node/tests/calls_test.cpp
@@ -19,7 +19,7 @@
     std::size_t runCount() const
     {
         std::size_t count = 0;
-        for (const WorldEndpoint &endpoint : this->fleet.world.endpoints) {
+        for (const EndpointModel &endpoint : this->fleet.world.endpoints) {
             count += endpoint.runs.size();
         }
         return count;
--- a/src/node/tests/node_world.cpp
+++ b/src/node/tests/node_world.cpp
@@ -41,7 +41,7 @@
         entry.handlers = entry.node->linkHandlers();
         entry.node->connect(this->linksOf(index));
         std::vector<EndpointRecord> records;
-        for (const WorldEndpoint &endpoint : this->world.endpoints) {
+        for (const EndpointModel &endpoint : this->world.endpoints) {
             records.push_back(endpoint.record);
         }
         entry.node->setEndpoints(records);
@@ -214,11 +214,11 @@
     ports.now = [this] { return this->world.now; };
     ports.commit = [this, later](const StoreTransaction &transaction, auto handler) {
         later(
-            StoreDelay, [this, transaction] { return this->world.apply(transaction); }, handler);
+            StoreDelay, [this, transaction] { return this->world.store.apply(transaction); }, handler);
     };
     ports.read = [this, later](const RangeRead &range, auto handler) {
         later(
-            StoreDelay, [this, range] { return this->world.readRange(range.table, range.part, range.from); }, handler);
+            StoreDelay, [this, range] { return this->world.store.read(range); }, handler);
     };
     ports.startRun = [this, later](const StartRun &order, auto handler) {
         later(
