A refusal is true only if no start may have taken place; stored ends wait for the end of the former leader

Jobs now count orders and orders that certainly had no effect; a job that may have been tried is given up as unknown. Ends of stored jobs are acknowledged once every endpoint knows the new token or the former lead has lapsed; a leader that stood still for 0.5 s gives no orders before the store has confirmed its lead. Ruled out: a shorter limit of unconfirmed leads, which outages of the store of 4.5 s would exceed.

--- a/src/cells/cell_dispatch.cpp
+++ b/src/cells/cell_dispatch.cpp
@@ -31,11 +31,20 @@
     return std::to_string(task.step) + "." + std::to_string(task.index);
 }
 
+/** @return Whether a start that ended so certainly did not take place. */
+bool hadNoEffect(StartResult::Kind kind)
+{
+    using Kind = StartResult::Kind;
+    // A superseded start says that another run of the task was there.
+    return kind != Kind::Started && kind != Kind::Unknown && kind != Kind::Superseded;
+}
+
 } // namespace
 
 bool CellLeader::mayGiveOrders(TimePoint now) const
 {
-    return this->phase == Phase::Leading && !this->batch.releases && now < this->chain.confirmedAt() + UnconfirmedLeadLimit;
+    return this->phase == Phase::Leading && !this->batch.releases && now < this->chain.confirmedAt() + UnconfirmedLeadLimit
+           && this->chain.confirmedAt() >= this->resumedAt && now <= this->advancedAt + StandstillLimit;
 }
 
 void CellLeader::queueJob(TimePoint now, CellJob &job)
@@ -171,6 +180,7 @@
     record.phase = TaskPhase::Placed;
     ++record.starts;
     ++job.placedTasks;
+    ++job.startOrders;
     assert(record.starts < RunsPerToken);
     RunRecord run;
     run.run = RunNumber((this->chain.token().value - 1) * RunsPerToken + record.starts);
@@ -203,6 +213,9 @@
         return; // Its end was listed before this answer came.
     }
     RunRecord &run = found->second;
+    if (const std::shared_ptr<CellJob> job = this->findJob(task.job); job && hadNoEffect(result.kind)) {
+        ++job->refusedStarts;
+    }
     if (result.kind != StartResult::Kind::Started) {
         this->log("task-not-started", {{"job", task.job.value},
                                        {"task", toText(task)},
@@ -407,7 +420,9 @@
     const bool isKnownTask = job && job->hasTask(end.task);
     const bool changesProgress = end.end == RunEnd::Done || end.end == RunEnd::Failed;
     const bool awaitsStore = isKnownTask && changesProgress && !job->spec.isBestEffort;
-    if (!endpoint.noteEnd(end.number, awaitsStore ? std::optional(end.task.job) : std::nullopt)) {
+    // A best-effort job may run again, so nobody relies on its ends.
+    const bool isStored = (job && !job->spec.isBestEffort) || this->ended.contains(end.task.job);
+    if (!endpoint.noteEnd(end.number, {awaitsStore ? std::optional(end.task.job) : std::nullopt, isStored && !this->isRecoverySettled})) {
         return;
     }
     const auto found = endpoint.runs.find(end.task);
--- a/src/cells/cell_endpoint.cpp
+++ b/src/cells/cell_endpoint.cpp
@@ -88,16 +88,23 @@
     this->runs.erase(found);
 }
 
-bool CellEndpoint::noteEnd(std::uint64_t number, std::optional<JobId> awaits)
+bool CellEndpoint::noteEnd(std::uint64_t number, EndRecord end)
 {
     if (number <= this->lastEnd) {
         return false;
     }
     this->lastEnd = number;
-    this->ends.emplace(number, EndRecord{std::move(awaits)});
+    this->ends.emplace(number, std::move(end));
     return true;
 }
 
+void CellEndpoint::settleRecovery()
+{
+    for (auto &[number, end] : this->ends) {
+        end.awaitsRecovery = false;
+    }
+}
+
 void CellEndpoint::settleEnds(const JobId &job, std::uint64_t upTo)
 {
     for (auto &[number, end] : this->ends) {
@@ -116,7 +123,7 @@
 {
     std::uint64_t settled = this->acknowledgedEnd;
     for (const auto &[number, end] : this->ends) {
-        if (end.awaits) {
+        if (end.awaits || end.awaitsRecovery) {
             break;
         }
         settled = number;
@@ -137,7 +144,8 @@
 
 bool CellEndpoint::hasUnsettledEnds() const
 {
-    return std::ranges::any_of(this->ends, [](const auto &entry) { return entry.second.awaits.has_value(); });
+    return std::ranges::any_of(this->ends,
+                               [](const auto &entry) { return entry.second.awaits.has_value() || entry.second.awaitsRecovery; });
 }
 
 } // namespace Tanagertally::Cells
--- a/src/cells/cell_endpoint.h
+++ b/src/cells/cell_endpoint.h
@@ -33,6 +33,7 @@
 /** An end that the endpoint lists until it is acknowledged. */
 struct EndRecord {
     std::optional<JobId> awaits; ///< Job whose progress has to be stored first; unset once it is.
+    bool awaitsRecovery = false; ///< Whether a former leader may still start the task again.
 };
 
 /** Bounds of the leases that endpoints grant. */
@@ -99,7 +100,10 @@
      * Note a listed end.
      * @return Whether it is new.
      */
-    bool noteEnd(std::uint64_t number, std::optional<JobId> awaits);
+    bool noteEnd(std::uint64_t number, EndRecord end);
+
+    /** Let ends be acknowledged that a former leader might have made untrue. */
+    void settleRecovery();
 
     /** Let ends that await a job be acknowledged, up to a number. */
     void settleEnds(const JobId &job, std::uint64_t upTo);
@@ -116,7 +120,7 @@
     /** Note that the endpoint took an acknowledgement. */
     void noteAcknowledged(std::uint64_t number);
 
-    /** @return Whether some end still waits for the store. */
+    /** @return Whether some end may not be acknowledged yet. */
     bool hasUnsettledEnds() const;
 
 private:
--- a/src/cells/cell_job.cpp
+++ b/src/cells/cell_job.cpp
@@ -48,6 +48,11 @@
     this->unblock();
 }
 
+bool CellJob::isUntried() const
+{
+    return !this->wasRecovered && this->startOrders == this->refusedStarts;
+}
+
 TaskRecord &CellJob::task(const TaskRef &ref)
 {
     assert(this->hasTask(ref));
--- a/src/cells/cell_job.h
+++ b/src/cells/cell_job.h
@@ -69,6 +69,11 @@
     bool wasRecovered = false; ///< Whether it was read from the store after a change of leadership.
     std::optional<JobRank> rank; ///< Place in the order of waiting jobs; unset if none of its tasks waits.
     std::uint32_t placedTasks = 0; ///< Tasks whose phase is Placed.
+    std::uint64_t startOrders = 0; ///< Orders to start a run of it.
+    std::uint64_t refusedStarts = 0; ///< Such orders that certainly had no effect.
+
+    /** @return Whether it is certain that no task of it ever started. */
+    bool isUntried() const;
 
     /** @return The record of a task. @pre The task is one of the job. */
     TaskRecord &task(const TaskRef &ref);
--- a/src/cells/cell_leader.cpp
+++ b/src/cells/cell_leader.cpp
@@ -22,6 +22,7 @@
 CellLeader::CellLeader(CellLeaderOptions leaderOptions, TimePoint now)
     : options(std::move(leaderOptions))
     , chain(this->options.cell, this->options.self, this->options.incarnation)
+    , advancedAt(now)
     , nextLeadReadAt(now)
 {
     this->advance(now);
@@ -226,6 +227,10 @@
     this->isRecoverySettled = true;
     this->log("recovery-settled", {{"unheard", toText(this->unheard.size())}, {"jobs", toText(this->jobs.size())}});
     this->unheard.clear();
+    for (auto &[name, endpoint] : this->endpoints) {
+        endpoint->settleRecovery();
+        endpoint->nextHoldAt = std::min(endpoint->nextHoldAt, now);
+    }
     for (auto &[id, job] : this->jobs) {
         job->releaseUnaccounted();
         this->queueJob(now, *job);
@@ -244,6 +249,7 @@
         }
         return;
     }
+    this->noteStandstill(now);
     this->chain.advance(now, this->actions);
     if (this->phase != Phase::Leading) {
         return;
@@ -263,12 +269,21 @@
     this->settleRecovery(now);
     this->stopOrphans(now);
     this->refreshRanks(now);
-    this->refuseHopeless(now);
+    this->giveUpHopeless(now);
     this->pump(now);
     this->holdEndpoints(now);
     this->flush(now);
 }
 
+void CellLeader::noteStandstill(TimePoint now)
+{
+    const Duration gap = now - std::exchange(this->advancedAt, now);
+    if (this->phase == Phase::Leading && gap > StandstillLimit) {
+        this->resumedAt = now;
+        this->log("lead-unsure", {{"gap_ms", toText(static_cast<std::uint64_t>(gap / std::chrono::milliseconds(1)))}}, true);
+    }
+}
+
 void CellLeader::endLead(const std::string &reason, bool wasReleased)
 {
     if (this->phase == Phase::Ended) {
--- a/src/cells/cell_leader.h
+++ b/src/cells/cell_leader.h
@@ -130,6 +130,7 @@
     // cell_leader.cpp: the leader's life.
     void endLead(const std::string &reason, bool wasReleased);
     void stopOrphans(TimePoint now);
+    void noteStandstill(TimePoint now);
     void settleRecovery(TimePoint now);
     void answer(CallId call, SubmitAnswer answer);
     void log(std::string event, std::vector<std::pair<std::string, std::string>> fields, bool isWarning = false);
@@ -138,8 +139,8 @@
     void finishJob(TimePoint now, const JobId &id);
     void submitBestEffort(TimePoint now, CallId call, const std::shared_ptr<CellJob> &job, bool wasOffered);
     void attachOrphans(CellJob &job);
-    void refuseHopeless(TimePoint now);
-    void refuseUntried(TimePoint now, const std::shared_ptr<CellJob> &job);
+    void giveUpHopeless(TimePoint now);
+    void giveUp(TimePoint now, const std::shared_ptr<CellJob> &job);
     void finishBestEffort(TimePoint now, const std::shared_ptr<CellJob> &job);
     std::string_view findRefusal(const CellJob &job) const;
     std::int64_t openCapacity() const;
@@ -188,6 +189,8 @@
     CellLeaderOptions options; ///< Set-up.
     CommitChain chain; ///< Transactions.
     Phase phase = Phase::Reading; ///< Where it is on its way.
+    TimePoint advancedAt; ///< When advance() was called last.
+    TimePoint resumedAt; ///< When the process went on after standing still; no orders until the store has confirmed the lead since.
     TimePoint nextLeadReadAt; ///< When to read the lead row again while Reading.
     bool isLeadReadInFlight = false; ///< Whether the first read of the lead row is in flight.
     TimePoint claimedAt; ///< When the lead was taken.
--- a/src/cells/cell_leader_store.cpp
+++ b/src/cells/cell_leader_store.cpp
@@ -121,7 +121,7 @@
     if (!this->dirtyJobs.empty() && now >= this->dirtySince + ProgressDelay) {
         return true;
     }
-    return now >= this->lastCommitAt + LeadRenewal;
+    return now >= this->lastCommitAt + LeadRenewal || this->chain.confirmedAt() < this->resumedAt;
 }
 
 void CellLeader::flush(TimePoint now)
--- a/src/cells/job_type.h
+++ b/src/cells/job_type.h
@@ -114,6 +114,7 @@
 inline constexpr std::string_view NotLeadingReason = "not-leading"; ///< Refused without effect: another instance leads the cell.
 inline constexpr std::string_view NoEndpointReason = "no-endpoint-fits"; ///< Refused without effect: no endpoint could ever run it.
 inline constexpr std::string_view OverloadedReason = "overloaded"; ///< Refused without effect: it could not end in time.
+inline constexpr std::string_view HopelessReason = "too-late"; ///< Given up: a task of it may have run, and it can't end in time.
 inline constexpr std::string_view MovedReason = "moved"; ///< The lead of the cell changed; the next leader has to be asked.
 
 /** Answer to a submission. */
--- a/src/cells/tests/cell_world.h
+++ b/src/cells/tests/cell_world.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 
 namespace Tanagertally::Cells::Test {
 
@@ -103,12 +104,17 @@
     void carryOut(std::size_t leader, CellAction &action);
     CellContent readContent(const CellName &cell);
     void checkStart(const TaskRef &task, RunNumber run);
+    void checkAnswer(const AnswerSubmission &reply);
     template<typename Result, typename Do, typename Hand>
     void call(std::size_t leader, CallFate fate, Duration delay, Do carry, Result refused, Result unknown, Hand hand);
 
     std::multimap<TimePoint, Handler> queue; ///< What happens later.
     std::uint64_t lastCall = 0; ///< Last number given to a call.
     std::map<TaskRef, std::vector<RunNumber>> starts; ///< Runs by task.
+    std::map<CallId, JobId> bestEffortCalls; ///< Submissions of best-effort jobs that no leader had been offered before.
+    std::set<JobId> bestEffortJobs; ///< Jobs that are not stored.
+    std::set<JobId> refused; ///< Jobs that were said not to run.
+    std::set<JobId> started; ///< Jobs of which a run started.
     std::map<TaskRef, TimePoint> notedDone; ///< Tasks whose good end was acknowledged.
 };
 
--- a/src/cells/tests/leader_test.cpp
+++ b/src/cells/tests/leader_test.cpp
@@ -239,6 +239,50 @@
     BOOST_TEST(this->world.startCount == static_cast<std::size_t>(ended));
 }
 
+BOOST_FIXTURE_TEST_CASE(JobWhoseStartGotNoAnswerIsGivenUpAsUnknownAndNotAsRefused, OneLeader)
+{
+    this->world.workTime = 20s;
+    this->world.submit(this->leader, JobId("00000000000000a2"), 3, true);
+    this->world.pass(100ms);
+    this->world.workTime = 60ms;
+    this->world.orderFate = [] { return CallFate::AnswerLost; }; // The run starts, and nobody hears of it.
+    const CallId call = this->world.submit(this->leader, Job, 1, true);
+    this->world.pass(50ms);
+    BOOST_TEST(this->world.startCount == 4U);
+    this->world.orderFate = [] { return CallFate::Answered; };
+    for (EndpointModel &endpoint : this->world.endpoints) {
+        // Its lease runs out, and the job waits for room until it is hopeless.
+        endpoint.isReachable = !endpoint.runsTask({Job, 0, 0});
+    }
+    const auto isAnswered = [&] { return this->world.leaders[0].submitAnswers.contains(call); };
+    BOOST_REQUIRE(this->world.passUntil(isAnswered, 5s));
+    BOOST_TEST((this->world.leaders[0].submitAnswers.at(call).verdict == SubmitVerdict::Unknown));
+}
+
+BOOST_FIXTURE_TEST_CASE(EndsAreNotAcknowledgedWhileAFormerLeaderMayStillGiveOrders, OneLeader)
+{
+    this->world.workTime = 200ms;
+    this->world.submit(this->leader, Job, 1);
+    this->world.passUntil([this] { return this->world.startCount == 1; }, 1s);
+    EndpointModel &unused = this->world.endpoints[this->world.endpoints[0].runs.empty() ? 0 : 1];
+    unused.isReachable = false; // It never hears of the next leader.
+    this->world.orderFate = [] { return CallFate::AnswerLost; };
+    this->world.pass(50ms);
+    this->world.orderFate = [] { return CallFate::Answered; };
+    this->world.leaders[0].isFrozen = true;
+    this->leader = this->world.addLeader();
+    BOOST_TEST(this->becomes(Job, JobState::Done));
+    this->world.pass(1500ms);
+    unused.isReachable = true;
+    this->world.thaw(0); // It takes the task's endpoint for lost, and finds the other one.
+    this->world.pass(500ms);
+    BOOST_TEST(this->world.violations.empty(), this->world.violations.front());
+    this->world.pass(10s);
+    for (const EndpointModel &endpoint : this->world.endpoints) {
+        BOOST_TEST(endpoint.ends.empty());
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(WithdrawnJobThatStillWaitsIsNoLoad, OneLeader)
 {
     this->world.workTime = 10s;
