--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -19,20 +19,32 @@
 constexpr auto LongestRun = std::chrono::seconds(30);
 constexpr int SignalExitBase = 128;
 
+/** @return The texts as the null-terminated array that the system takes. */
+std::vector<char *> toPointers(const std::vector<std::string> &texts)
+{
+    std::vector<char *> pointers;
+    for (const std::string &text : texts) {
+        pointers.push_back(const_cast<char *>(text.c_str()));
+    }
+    pointers.push_back(nullptr);
+    return pointers;
+}
+
 pid_t spawn(const ChildCommand &command)
 {
-    std::vector<char *> arguments;
-    for (const std::string &argument : command.arguments) {
-        arguments.push_back(const_cast<char *>(argument.c_str()));
+    const std::vector<char *> arguments = toPointers(command.arguments);
+    std::vector<std::string> variables = command.environment;
+    for (char **variable = environ; *variable != nullptr; ++variable) {
+        variables.emplace_back(*variable);
     }
-    arguments.push_back(nullptr);
+    const std::vector<char *> environment = toPointers(variables);
     posix_spawn_file_actions_t files;
     posix_spawn_file_actions_init(&files);
     posix_spawn_file_actions_addopen(&files, STDIN_FILENO, "/dev/null", O_RDONLY, 0);
     posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, command.output.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
     pid_t pid = -1;
-    const int error = posix_spawn(&pid, arguments[0], &files, nullptr, arguments.data(), environ);
+    const int error = posix_spawn(&pid, arguments[0], &files, nullptr, arguments.data(), environment.data());
     posix_spawn_file_actions_destroy(&files);
     if (error != 0) {
         throw std::runtime_error("can't start " + command.arguments[0]);
--- a/tests/process/child_process.h
+++ b/tests/process/child_process.h
@@ -15,6 +15,7 @@
 struct ChildCommand {
     std::vector<std::string> arguments; ///< The program and its arguments.
     std::filesystem::path output; ///< File for standard output and error.
+    std::vector<std::string> environment = {}; ///< "NAME=value" beside what this process has.
 };
 
 /**
--- a/tests/process/http_call.cpp
+++ b/tests/process/http_call.cpp
@@ -25,11 +25,14 @@
     return {asio::ip::make_address(address.substr(0, colon)), static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))};
 }
 
-http::request<http::string_body> toMessage(const HttpCall &request)
+http::request<http::string_body> toMessage(const HttpCall &request, bool keepsOpen)
 {
     http::request<http::string_body> message(http::string_to_verb(request.method), request.target, 11);
-    message.set(http::field::host, request.address);
-    message.set(http::field::connection, "close");
+    message.set(http::field::host, request.host.empty() ? request.address : request.host);
+    message.keep_alive(keepsOpen);
+    if (!request.deadlineMs.empty()) {
+        message.set("X-Tanagertally-Deadline-Ms", request.deadlineMs);
+    }
     if (!request.secret.empty()) {
         message.set(http::field::authorization, "Bearer " + request.secret);
     }
@@ -41,38 +44,74 @@
     return message;
 }
 
-asio::awaitable<void> exchange(const HttpCall &request, HttpAnswer &answer)
-{
-    beast::tcp_stream stream(co_await asio::this_coro::executor);
-    stream.expires_after(request.timeout);
-    beast::error_code error;
-    co_await stream.async_connect(toEndpoint(request.address), asio::redirect_error(asio::use_awaitable, error));
-    if (error) {
-        answer.end = CallEnd::NotConnected;
-        co_return;
+} // namespace
+
+struct HttpConnection::State {
+    std::string address; ///< Where it goes.
+    asio::io_context io; ///< Runs the calls.
+    beast::tcp_stream stream{this->io}; ///< The socket.
+    bool isOpen = false; ///< Whether it is connected.
+
+    asio::awaitable<void> exchange(const HttpCall &request, bool keepsOpen, HttpAnswer &answer)
+    {
+        beast::error_code error;
+        this->stream.expires_after(request.timeout);
+        if (!this->isOpen) {
+            this->stream.close();
+            co_await this->stream.async_connect(toEndpoint(this->address), asio::redirect_error(asio::use_awaitable, error));
+            if (error) {
+                answer.end = CallEnd::NotConnected;
+                co_return;
+            }
+            this->isOpen = true;
+        }
+        const auto message = toMessage(request, keepsOpen);
+        beast::error_code writeError;
+        co_await http::async_write(this->stream, message, asio::redirect_error(asio::use_awaitable, writeError));
+        beast::flat_buffer buffer;
+        http::response_parser<http::string_body> parser;
+        parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+        co_await http::async_read(this->stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            this->isOpen = false;
+            answer.end = error == beast::error::timeout ? CallEnd::TimedOut : CallEnd::Cut;
+            co_return;
+        }
+        this->isOpen = parser.get().keep_alive();
+        answer = HttpAnswer{CallEnd::Answered, parser.get().result_int(), parser.get().body()};
     }
-    const auto message = toMessage(request);
-    beast::error_code writeError;
-    co_await http::async_write(stream, message, asio::redirect_error(asio::use_awaitable, writeError));
-    beast::flat_buffer buffer;
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
-    co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
-    if (error) {
-        co_return;
+
+    HttpAnswer run(const HttpCall &request, bool keepsOpen)
+    {
+        HttpAnswer answer;
+        asio::co_spawn(this->io, this->exchange(request, keepsOpen, answer), asio::detached);
+        this->io.run();
+        this->io.restart();
+        return answer;
     }
-    answer = HttpAnswer{CallEnd::Answered, parser.get().result_int(), parser.get().body()};
+};
+
+HttpConnection::HttpConnection(std::string address)
+    : state(std::make_unique<State>())
+{
+    this->state->address = std::move(address);
 }
 
-} // namespace
+HttpConnection::~HttpConnection() = default;
+
+HttpAnswer HttpConnection::exchange(const HttpCall &request)
+{
+    return this->state->run(request, true);
+}
+
+HttpAnswer HttpConnection::exchangeOnce(const HttpCall &request)
+{
+    return this->state->run(request, false);
+}
 
 HttpAnswer call(const HttpCall &request)
 {
-    asio::io_context io;
-    HttpAnswer answer;
-    asio::co_spawn(io, exchange(request, answer), asio::detached);
-    io.run();
-    return answer;
+    return HttpConnection(request.address).exchangeOnce(request);
 }
 
 } // namespace Tanagertally::ProcessTests
--- a/tests/process/process_fixture.h
+++ b/tests/process/process_fixture.h
@@ -3,10 +3,10 @@
 
 #include "child_process.h"
 #include "http_call.h"
+#include "process_tools.h"
 
 #include <cstdint>
 #include <filesystem>
-#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -16,28 +16,6 @@
 inline constexpr const char *TeamKeyText = "team-secret-0123456789"; ///< Secret of the team "app".
 inline constexpr const char *OperatorKeyText = "operator-secret-0123456789"; ///< Secret of the operator "amal".
 
-/** A folder for the files of one test, removed at its end unless TANAGERTALLY_KEEP_FILES is set. */
-class TemporaryFolder
-{
-public:
-    TemporaryFolder();
-    ~TemporaryFolder();
-    TemporaryFolder(const TemporaryFolder &) = delete;
-    TemporaryFolder &operator=(const TemporaryFolder &) = delete;
-
-    /** @return The path of a file in the folder. */
-    std::filesystem::path file(const std::string &name) const;
-
-private:
-    std::filesystem::path path; ///< The folder.
-};
-
-/** @return A TCP port on loopback that nothing listens at and that this process has not been given before. */
-std::uint16_t freePort();
-
-/** Wait until a condition holds. @return Whether it came to hold within the time. */
-bool waitUntil(const std::function<bool()> &condition, std::chrono::milliseconds timeout = std::chrono::seconds(30));
-
 /** Size of a fleet. */
 struct FleetSize {
     std::uint32_t instances = 8; ///< Daemons, dealt to the failure domains in turn.
