--- a/src/node/peer_bus.cpp
+++ b/src/node/peer_bus.cpp
@@ -64,22 +64,29 @@
 
 void PeerBus::setPeers(std::span<const InstanceRecord> records)
 {
+    std::vector<InstanceName> lost;
     for (auto link = this->peers.begin(); link != this->peers.end();) {
         const auto peer = std::ranges::find(records, link->first, &InstanceRecord::name);
-        if (peer != records.end() && peer->incarnation == link->second.incarnation && peer->peerAddress == link->second.address) {
+        // An open connection leads to the process that is there now, whatever incarnation its row tells.
+        if (peer != records.end() && peer->peerAddress == link->second.address) {
             ++link;
             continue;
         }
         if (link->second.handle != 0) {
             this->transport->post([transport = this->transport.get(), handle = link->second.handle] { transport->abort(handle); });
         }
+        if (link->second.isOpen) {
+            lost.push_back(link->first);
+        }
         link = this->peers.erase(link);
     }
+    for (const InstanceName &name : lost) {
+        this->handlers.lost(name, false);
+    }
     for (const InstanceRecord &peer : records) {
         if (!this->peers.contains(peer.name)) {
             Link &link = this->peers[peer.name];
             link.address = peer.peerAddress;
-            link.incarnation = peer.incarnation;
             this->dial(peer.name, link);
         }
     }
--- a/src/node/peer_bus.h
+++ b/src/node/peer_bus.h
@@ -55,7 +55,6 @@
     /** The connection to one instance. */
     struct Link {
         NetAddress address; ///< Where the instance listens.
-        Incarnation incarnation; ///< Of the process that is expected there.
         ConnectionHandle handle = 0; ///< Its connection; 0 if none.
         bool isOpen = false; ///< Whether it is open.
         std::chrono::steady_clock::time_point dialedAt; ///< When it was opened last.
--- a/tests/process/process_tools.cpp
+++ b/tests/process/process_tools.cpp
@@ -32,7 +32,7 @@
 
 TemporaryFolder::~TemporaryFolder()
 {
-    if (std::getenv("TANAGERTALLY_KEEP_FILES") != nullptr) {
+    if (this->isKept || std::getenv("TANAGERTALLY_KEEP_FILES") != nullptr) {
         std::cerr << "files kept in " << this->path << '\n';
         return;
     }
@@ -45,6 +45,12 @@
     return this->path / name;
 }
 
+std::filesystem::path TemporaryFolder::keep()
+{
+    this->isKept = true;
+    return this->path;
+}
+
 std::uint16_t freePort()
 {
     static std::uint32_t next = static_cast<std::uint32_t>(getpid()) * PortsPerProcess;
--- a/tests/process/process_tools.h
+++ b/tests/process/process_tools.h
@@ -21,8 +21,12 @@
     /** @return The path of a file in the folder. */
     std::filesystem::path file(const std::string &name) const;
 
+    /** Don't remove it. @return Its path. */
+    std::filesystem::path keep();
+
 private:
     std::filesystem::path path; ///< The folder.
+    bool isKept = false; ///< Whether it stays.
 };
 
 /** @return A TCP port on loopback that nothing listens at and that this process has not been given before. */
