Only the store denies a job; a call that is offered again to its leader goes on

Whether a job exists is now told by the store's row of its name only; a leader's word against that row is asked again until the call's deadline, and is then 'unknown'.

--- a/src/cells/cell_leader_jobs.cpp
+++ b/src/cells/cell_leader_jobs.cpp
@@ -51,7 +51,9 @@
 void CellLeader::submitBestEffort(TimePoint now, CallId call, const std::shared_ptr<CellJob> &job, bool wasOffered)
 {
     if (const auto known = this->bestEffortCalls.find(job->id); known != this->bestEffortCalls.end()) {
-        this->answer(known->second, {SubmitVerdict::Unknown, "handed in again", {}, {}});
+        if (known->second != call) {
+            this->answer(known->second, {SubmitVerdict::Unknown, "handed in again", {}, {}});
+        }
         known->second = call;
         return;
     }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -291,12 +291,16 @@
     }
     pending.isAsking = false;
     const TimePoint now = this->ports.now();
-    if (answer.kind == JobAnswer::Kind::NoSuchJob && !pending.isCellRead && !pending.cell.empty() && now < pending.deadline) {
-        // The job may have been handed in here a second time, and be in another cell.
+    // Only the store denies a job: a leader may have lost its cell without knowing, and the job may be in another cell.
+    if (answer.kind == JobAnswer::Kind::NoSuchJob && !pending.cell.empty()) {
+        answer.kind = JobAnswer::Kind::Unknown;
+        const bool isContradiction = std::exchange(pending.isCellRead, false);
         this->cellOfJob.erase(pending.id);
         pending.cell = CellName();
-        this->askLeader(call, pending);
-        return;
+        if (!isContradiction && now < pending.deadline) {
+            this->askLeader(call, pending);
+            return;
+        }
     }
     if (answer.kind == JobAnswer::Kind::Unknown && now < pending.deadline) {
         pending.retryAt = now + CallRetry;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -90,6 +90,7 @@
         Kind kind = Kind::Submission; ///< Which of them.
         CallId origin; ///< The caller's call, or the other instance's.
         LinkHandle connection = 0; ///< Connection of the other instance.
+        InstanceName asker; ///< The other instance.
         JobId id; ///< The job.
         JobQuestion question = JobQuestion::State; ///< What is asked.
         std::shared_ptr<const std::pair<JobSpec, JobTerms>> job; ///< What is submitted.
@@ -151,6 +152,7 @@
     void onMembersRead(const ReadResult &result);
     void onAsked(LinkHandle connection, std::string_view bytes);
     void onReplied(const InstanceName &peer, std::string_view bytes);
+    void onSubmitAsked(LinkHandle connection, LinkSubmit &submit);
     void withdrawCall(CallId call);
     void onAskerLost(LinkHandle connection);
     void onPeerLost(const InstanceName &peer, bool wasRefused);
--- a/src/node/node_cells.cpp
+++ b/src/node/node_cells.cpp
@@ -425,24 +425,7 @@
                            }
                        }
                    },
-                   [&](LinkSubmit &submit) {
-                       const auto own = this->led.find(submit.cell);
-                       if (own == this->led.end()) {
-                           this->links.reply(connection,
-                                             encodeLinkMessage(LinkSubmitReply{
-                                                 submit.call, {SubmitVerdict::Refused, std::string(NotLeadingReason), {}, {}}}));
-                           return;
-                       }
-                       const CallId call(++this->lastCall);
-                       PendingCall &pending = this->calls[call];
-                       pending.kind = PendingCall::Kind::RemoteSubmission;
-                       pending.origin = submit.call;
-                       pending.connection = connection;
-                       pending.cell = submit.cell;
-                       own->second.leader->submit(this->ports.now(), call, std::move(submit.id), std::move(submit.spec),
-                                                  std::move(submit.terms), submit.wasOffered);
-                       this->runActions(submit.cell);
-                   },
+                   [&](LinkSubmit &submit) { this->onSubmitAsked(connection, submit); },
                    [&](LinkJobAsk &ask) {
                        const auto own = this->led.find(ask.cell);
                        JobAnswer answer;
@@ -475,6 +458,35 @@
                message.value());
 }
 
+void Node::onSubmitAsked(LinkHandle connection, LinkSubmit &submit)
+{
+    const auto own = this->led.find(submit.cell);
+    if (own == this->led.end()) {
+        this->links.reply(connection,
+                          encodeLinkMessage(LinkSubmitReply{submit.call, {SubmitVerdict::Refused, std::string(NotLeadingReason), {}, {}}}));
+        return;
+    }
+    const auto asker = this->askers.find(connection);
+    const InstanceName name = asker == this->askers.end() ? InstanceName() : asker->second;
+    // The instance offers a call again whose former connection it lost: only the new one is answered.
+    std::erase_if(this->calls, [&](const auto &entry) {
+        const PendingCall &known = entry.second;
+        return known.kind == PendingCall::Kind::RemoteSubmission && known.origin == submit.call && known.asker == name
+               && known.id == submit.id;
+    });
+    const CallId call(++this->lastCall);
+    PendingCall &pending = this->calls[call];
+    pending.kind = PendingCall::Kind::RemoteSubmission;
+    pending.origin = submit.call;
+    pending.connection = connection;
+    pending.asker = name;
+    pending.id = submit.id;
+    pending.cell = submit.cell;
+    own->second.leader->submit(this->ports.now(), call, std::move(submit.id), std::move(submit.spec), std::move(submit.terms),
+                               submit.wasOffered);
+    this->runActions(submit.cell);
+}
+
 void Node::withdrawCall(CallId call)
 {
     const CellName cell = this->calls.at(call).cell;
--- a/src/node/tests/calls_test.cpp
+++ b/src/node/tests/calls_test.cpp
@@ -68,6 +68,28 @@
     BOOST_TEST(this->fleet.world.violations.empty());
 }
 
+BOOST_FIXTURE_TEST_CASE(JobThatIsOfferedAgainToTheSameLeaderGoesOn, ThreeNodes)
+{
+    this->fleet.world.workTime = 500ms;
+    const CallId call = this->fleet.submit(this->entry, Job, 4);
+    this->fleet.world.pass(100ms);
+    // The link is opened again before the leader notices that it was lost.
+    this->fleet.nodes[this->entry].handlers.lost(this->fleet.nodes[*this->fleet.leader()].record.name, false);
+    BOOST_TEST(this->endsAs(call, JobState::Done));
+    BOOST_TEST(this->fleet.world.startCount == 4U);
+}
+
+BOOST_FIXTURE_TEST_CASE(LeaderWhoseLinkIsTakenForLostKeepsItsOwnCalls, ThreeNodes)
+{
+    this->entry = *this->fleet.leader();
+    this->fleet.world.workTime = 500ms;
+    const CallId call = this->fleet.submit(this->entry, Job, 4);
+    this->fleet.world.pass(100ms);
+    this->fleet.nodes[this->entry].handlers.lost(this->fleet.nodes[this->fleet.follower()].record.name, false);
+    BOOST_TEST(this->endsAs(call, JobState::Done));
+    BOOST_TEST(this->fleet.world.startCount == 4U);
+}
+
 BOOST_FIXTURE_TEST_CASE(FrozenLeaderIsReplacedAndDoesNoHarmWhenItWakes, ThreeNodes)
 {
     const std::size_t frozen = *this->fleet.leader();
@@ -84,6 +106,22 @@
     BOOST_TEST(this->fleet.world.violations.empty());
 }
 
+BOOST_FIXTURE_TEST_CASE(LeaderThatWakesDoesNotDenyAJobOfItsSuccessor, ThreeNodes)
+{
+    const std::size_t frozen = *this->fleet.leader();
+    this->fleet.freeze(frozen);
+    BOOST_TEST(this->fleet.world.passUntil([this] { return this->fleet.leader().has_value(); }, 3s));
+    this->fleet.world.pass(500ms);
+    this->entry = this->fleet.follower();
+    const CallId accepted = this->fleet.submit(this->entry, Job, 1, 1500ms, false);
+    BOOST_TEST(this->fleet.world.passUntil([&] { return this->fleet.nodes[this->entry].submitAnswers.contains(accepted); }, 1s));
+    this->fleet.thaw(frozen);
+    const CallId question = this->fleet.ask(frozen, Job);
+    auto &answers = this->fleet.nodes[frozen].jobAnswers;
+    BOOST_TEST(this->fleet.world.passUntil([&] { return answers.contains(question); }, 2s));
+    BOOST_TEST((answers.at(question).kind != JobAnswer::Kind::NoSuchJob));
+}
+
 BOOST_FIXTURE_TEST_CASE(RefusalIsNotPassedOnIfAFormerLeaderMayHaveRunTheJob, ThreeNodes)
 {
     this->fleet.world.workTime = 500ms;
