A lead that was given back stays back; an answer of a former leader counts only if the job has ended

An instance of another domain gave the lead back, and its note that the cell was vacant was still that of before its own lead, so its turn among the candidates had long come and it claimed the lead again at once. Conclusion: planned stops no longer set off a quarrel about the lead.

--- a/src/node/node.h
+++ b/src/node/node.h
@@ -155,6 +155,7 @@
     void onSubmitAsked(LinkHandle connection, LinkSubmit &submit);
     void withdrawCall(CallId call);
     void onAskerLost(LinkHandle connection);
+    void onSubmitReplied(const InstanceName &peer, LinkSubmitReply &reply);
     void onPeerLost(const InstanceName &peer, bool wasRefused);
     bool isMemberAlive(const Member &member) const;
     std::vector<LeadCandidate> candidates() const;
--- a/src/node/node_cells.cpp
+++ b/src/node/node_cells.cpp
@@ -150,6 +150,7 @@
             [&](LeadEnded &) {
                 CellView &view = this->cells.at(cell);
                 this->led.erase(cell);
+                view.isVacant = false; // A vacancy of before the lead says nothing of now: others have their turn first.
                 if (view.leader == this->options.self.name) {
                     view.leader = InstanceName();
                     view.takesJobs = false;
@@ -520,12 +521,25 @@
         return;
     }
     if (LinkSubmitReply *submit = std::get_if<LinkSubmitReply>(&message.value())) {
-        this->onSubmitAnswer(submit->call, std::move(submit->answer));
+        this->onSubmitReplied(peer, *submit);
     } else if (const LinkJobReply *job = std::get_if<LinkJobReply>(&message.value())) {
         this->onJobAnswer(job->call, job->answer);
     }
 }
 
+void Node::onSubmitReplied(const InstanceName &peer, LinkSubmitReply &reply)
+{
+    const auto found = this->calls.find(reply.call);
+    const bool isFromFormerLeader = found != this->calls.end() && found->second.isAsking && found->second.leader != peer;
+    if (isFromFormerLeader && reply.answer.verdict != SubmitVerdict::Ended) {
+        return; // Another leader has been offered the job since.
+    }
+    if (isFromFormerLeader) {
+        this->withdraw(reply.call, found->second);
+    }
+    this->onSubmitAnswer(reply.call, std::move(reply.answer));
+}
+
 void Node::onPeerLost(const InstanceName &peer, bool wasRefused)
 {
     this->log("peer-lost", {{"peer", peer.value}, {"refused", wasRefused ? "yes" : "no"}});
--- a/src/node/tests/calls_test.cpp
+++ b/src/node/tests/calls_test.cpp
@@ -1,4 +1,5 @@
 // Callers' calls through one instance while the leader of the cell dies, stands still or is stopped.
+#include "node/link_message.h"
 #include "node/tests/node_world.h"
 
 #include <boost/test/unit_test.hpp>
@@ -106,6 +107,26 @@
     BOOST_TEST(this->fleet.world.violations.empty());
 }
 
+BOOST_FIXTURE_TEST_CASE(AnswerOfAFormerLeaderCountsOnlyIfTheJobHasEnded, ThreeNodes)
+{
+    this->fleet.world.workTime = 10s;
+    const CallId call = this->fleet.submit(this->entry, Job, 4, 20s);
+    this->fleet.world.pass(100ms);
+    const std::size_t leader = *this->fleet.leader();
+    const InstanceName former = this->fleet.nodes[3 - this->entry - leader].record.name;
+    const auto reply = [&](SubmitAnswer answer) {
+        const CallId asked(1); // The first call of this instance.
+        this->fleet.nodes[this->entry].handlers.replied(former, encodeLinkMessage(LinkSubmitReply{asked, std::move(answer)}));
+    };
+    reply({SubmitVerdict::Refused, std::string(OverloadedReason), {}, {}});
+    this->fleet.world.pass(100ms);
+    BOOST_TEST(!this->fleet.nodes[this->entry].submitAnswers.contains(call));
+    reply({SubmitVerdict::Ended, {}, {}, JobState::Done});
+    BOOST_TEST(this->endsAs(call, JobState::Done));
+    this->fleet.world.pass(200ms);
+    BOOST_TEST(this->runCount() == 0U);
+}
+
 BOOST_FIXTURE_TEST_CASE(LeaderThatWakesDoesNotDenyAJobOfItsSuccessor, ThreeNodes)
 {
     const std::size_t frozen = *this->fleet.leader();
@@ -158,6 +179,21 @@
     BOOST_TEST(this->runCount() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(LeadGoesBackToItsDomainOnceAndStaysThere)
+{
+    NodeWorld fleet(3, 3, true, true);
+    const CellName cell("other");
+    BOOST_TEST(fleet.world.passUntil([&] { return fleet.nodes[2].node->leadsCells(); }, 5s));
+    fleet.freeze(2);
+    const FenceToken former = fleet.tokenOf(cell);
+    BOOST_TEST(fleet.world.passUntil([&] { return former < fleet.tokenOf(cell); }, 6s));
+    fleet.thaw(2);
+    BOOST_TEST(fleet.world.passUntil([&] { return fleet.nodes[2].node->leadsCells(); }, 6s));
+    fleet.world.pass(3s);
+    // One change away, one back.
+    BOOST_TEST(fleet.tokenOf(cell).value <= former.value + 2);
+}
+
 BOOST_AUTO_TEST_CASE(JobHandedInAgainThroughAnotherCellIsStillFoundInItsOwn)
 {
     NodeWorld fleet(2, 2, true);
--- a/src/node/tests/node_world.cpp
+++ b/src/node/tests/node_world.cpp
@@ -1,5 +1,7 @@
 #include "node/tests/node_world.h"
 
+#include "cells/store_rows.h"
+
 #include <algorithm>
 
 namespace Tanagertally::Cells::Test {
@@ -18,7 +20,7 @@
 
 } // namespace
 
-NodeWorld::NodeWorld(std::size_t nodeCount, std::size_t endpointCount, bool hasOtherCell)
+NodeWorld::NodeWorld(std::size_t nodeCount, std::size_t endpointCount, bool hasOtherCell, bool hasOtherNode)
     : world(endpointCount)
     , nodes(nodeCount)
 {
@@ -33,7 +35,7 @@
         entry.record = {InstanceName("i" + std::to_string(index)),
                         Incarnation(index + 1),
                         NetAddress("10.1.0." + std::to_string(index) + ":1"),
-                        FailureDomain("cell"),
+                        FailureDomain(hasOtherNode && index + 1 == nodeCount ? "other" : "cell"),
                         0.25,
                         false};
         entry.node = std::make_unique<Node>(NodeOptions{entry.record, domains, LeaseTerms(), std::chrono::milliseconds(100)},
@@ -90,6 +92,12 @@
     return call;
 }
 
+FenceToken NodeWorld::tokenOf(const CellName &name)
+{
+    const RowKey key = leadKey(name);
+    return decodeLead(this->world.store.read({key.table, key.part, key.key, 1}).rows.at(0).value).value().token;
+}
+
 void NodeWorld::kill(std::size_t node)
 {
     this->nodes[node].isUp = false;
@@ -146,6 +154,12 @@
             if (peer.isFrozen && this->world.now - peer.silentSince > DeadLinkSilence && entry.peers.erase(other) > 0) {
                 entry.handlers.lost(peer.record.name, false);
                 entry.handlers.askerLost(handleOf(other));
+                // The frozen side finds its own connection closed when it goes on.
+                this->nodes[other].held.push_back([this, index, other] {
+                    if (this->nodes[other].peers.erase(index) > 0) {
+                        this->nodes[other].handlers.lost(this->nodes[index].record.name, false);
+                    }
+                });
             }
         }
         entry.node->tick();
--- a/src/node/tests/node_world.h
+++ b/src/node/tests/node_world.h
@@ -22,12 +22,12 @@
     std::map<CallId, JobAnswer> jobAnswers; ///< By call.
 };
 
-/** Nodes of one failure domain, whose cell has the endpoints of the CellWorld; the last one may be a cell of its own. */
+/** Nodes of one failure domain, whose cell has the endpoints of the CellWorld; the last one of each may be in another domain. */
 class NodeWorld
 {
 public:
     /** Make a world and let the nodes start and find a leader. */
-    NodeWorld(std::size_t nodeCount, std::size_t endpointCount, bool hasOtherCell = false);
+    NodeWorld(std::size_t nodeCount, std::size_t endpointCount, bool hasOtherCell = false, bool hasOtherNode = false);
 
     CellWorld world; ///< Store, endpoints and the clock.
     std::vector<WorldNode> nodes; ///< The nodes.
@@ -46,6 +46,9 @@
     /** Ask how a job stands. @return The call. */
     CallId ask(std::size_t node, const JobId &id);
 
+    /** @return Fencing token of the leader of a cell, as the store tells. */
+    FenceToken tokenOf(const CellName &name);
+
     /** Kill a process. */
     void kill(std::size_t node);
 
