--- a/src/cells/tests/cell_world.cpp
+++ b/src/cells/tests/cell_world.cpp
@@ -176,7 +176,7 @@
 void CellWorld::call(std::size_t leader, CallFate fate, Duration delay, Do carry, Result refused, Result unknown, Hand hand)
 {
     const auto handOver = [this, leader, hand](Result result) { this->deliver(leader, [hand, result] { hand(result); }); };
-    switch (fate) {
+    switch (this->leaders[leader].isCutOff ? CallFate::Lost : fate) {
     case CallFate::Answered:
         this->at(this->now + delay / 2, [this, delay, carry, handOver] {
             Result result = carry();
--- a/src/cells/tests/cell_world.h
+++ b/src/cells/tests/cell_world.h
@@ -26,6 +26,7 @@
     std::unique_ptr<CellLeader> leader; ///< The leader.
     bool isUp = true; ///< Whether its process lives.
     bool isFrozen = false; ///< Whether its process stands still.
+    bool isCutOff = false; ///< Whether its calls are lost.
     std::vector<std::function<void()>> held; ///< Answers that came while it was frozen.
     std::map<CallId, SubmitAnswer> submitAnswers; ///< By call.
     std::map<CallId, JobAnswer> cancelAnswers; ///< By call.
--- a/src/cells/tests/leader_test.cpp
+++ b/src/cells/tests/leader_test.cpp
@@ -283,6 +283,41 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(FormerLeaderThatWasCutOffStartsNothingWhoseEndWasAcknowledged)
+{
+    // It comes back at any moment around that at which it takes the task's endpoint for lost.
+    for (auto cutFor = 800ms; cutFor < 1300ms; cutFor += 10ms) {
+        OneLeader one;
+        one.world.workTime = 200ms;
+        one.world.submit(one.leader, Job, 1);
+        one.world.passUntil([&one] { return one.world.startCount == 1; }, 1s);
+        EndpointModel &unused = one.world.endpoints[one.world.endpoints[0].runs.empty() ? 0 : 1];
+        unused.isReachable = false; // It never hears of the next leader.
+        one.world.leaders[0].isCutOff = true;
+        one.leader = one.world.addLeader();
+        one.world.pass(cutFor);
+        unused.isReachable = true;
+        one.world.leaders[0].isCutOff = false;
+        one.world.pass(100ms);
+        BOOST_TEST(one.world.violations.empty(), one.world.violations.front());
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(JobThatIsOfferedAgainWaitsForTheEndOfItsWithdrawnRuns, OneLeader)
+{
+    this->world.workTime = 10s;
+    const CallId call = this->world.submit(this->leader, Job, 1, true);
+    this->world.pass(100ms);
+    this->world.leaders[0].isCutOff = true; // The order to stop is lost.
+    this->world.leaders[0].leader->withdraw(this->world.now, call);
+    this->world.pass(20ms);
+    this->world.leaders[0].isCutOff = false;
+    this->world.submit(this->leader, Job, 1, true, 2, true);
+    BOOST_TEST(this->world.startCount == 1U);
+    BOOST_TEST(this->world.passUntil([this] { return this->world.startCount == 2; }, 3s));
+    BOOST_TEST(this->world.violations.empty(), this->world.violations.front());
+}
+
 BOOST_FIXTURE_TEST_CASE(WithdrawnJobThatStillWaitsIsNoLoad, OneLeader)
 {
     this->world.workTime = 10s;
--- a/tools/mutations.pl
+++ b/tools/mutations.pl
@@ -1,10 +1,11 @@
 # Deliberate breaks of the decision part, for tools/mutation-check.
-#   perl mutations.pl          prints their names
+#   perl mutations.pl          prints their names; --part=platform or --part=daemon those of one program
 #   perl mutations.pl NAME     applies one to the source tree in the current directory
 use strict;
 use warnings;
 
 # Name, then file, text and replacement, as often as needed. Each text has to be found exactly once.
+# A file without a folder is one of src/controllers.
 my @mutations = (
     ['claim-after-start',
      'claim_controller.cpp', "    const RowKey key = claimRowKey(name);\n    CommitOp op;",
@@ -47,17 +48,58 @@
      'endpoint_controller.cpp', "const bool leaving = endpoint.departure.any();", "const bool leaving = false;"],
     ['exit-with-jobs-held',
      'coordinator.cpp', "this->jobs.unanswered() == 0", "this->jobs.unanswered() < 1000"],
+    ['refuse-after-start',
+     'cells/cell_job.cpp', "this->startOrders == this->refusedStarts", "true"],
+    ['acknowledge-before-stored',
+     'cells/cell_dispatch.cpp', "awaitsStore ? std::optional(end.task.job) : std::nullopt", "std::nullopt"],
+    ['acknowledge-before-recovery',
+     'cells/cell_dispatch.cpp', "isStored && !this->isRecoverySettled", "isStored && false"],
+    ['start-before-recovery',
+     'cells/cell_leader.cpp', "if (!this->unheard.empty() && !areLapsed) {", "if (!this->unheard.empty() && areLapsed) {"],
+    ['no-lead-condition',
+     'cells/commit_chain.cpp', "    this->transaction.conditions.push_back({leadKey(this->cell), this->expected});\n", ""],
+    ['accept-before-stored',
+     'cells/cell_leader_jobs.cpp', "    this->pendingAccepts.push_back({job, {call}});\n",
+     "    this->answer(call, {SubmitVerdict::Accepted, {}, {}, {}});\n    this->pendingAccepts.push_back({job, {}});\n"],
+    ['start-while-a-run-may-be-there',
+     'cells/cell_dispatch.cpp', "        if (this->mayStillRun(task)) {", "        if (this->mayStillRun(task) && false) {"],
+    ['unanswered-start-is-forgotten',
+     'cells/cell_dispatch.cpp', "        run.phase = RunPhase::Doubtful;\n        this->orderStop(now, *endpoint, task, run);\n        break;",
+     "        this->loseRun(now, *endpoint, task, \"no-answer\");\n        break;"],
+    ['lease-for-a-silent-endpoint',
+     'cells/cell_dispatch.cpp', "!endpoint.runs.empty() && endpoint.failuresInRow == 0) {", "!endpoint.runs.empty()) {"],
+    ['cancelled-runs-go-on',
+     'cells/cell_leader_jobs.cpp', "        this->stopRuns(now, id);\n", ""],
+    ['orders-after-a-standstill',
+     'cells/cell_dispatch.cpp', "this->chain.confirmedAt() >= this->resumedAt && now <= this->advancedAt + StandstillLimit", "true"],
+    ['leader-denies-a-job',
+     'node/node.cpp', "if (answer.kind == JobAnswer::Kind::NoSuchJob && !pending.cell.empty()) {",
+     "if (answer.kind == JobAnswer::Kind::NoSuchJob && false) {"],
+    ['refusal-after-an-offer',
+     'node/node.cpp', "if (answer.verdict == SubmitVerdict::Refused && pending.wasOffered) {",
+     "if (answer.verdict == SubmitVerdict::Refused && false) {"],
+    ['answer-of-a-former-leader',
+     'node/node_cells.cpp', "if (isFromFormerLeader && reply.answer.verdict != SubmitVerdict::Ended) {", "if (isFromFormerLeader && false) {"],
+    ['lead-taken-back-at-once',
+     'node/node_cells.cpp', "                view.isVacant = false; // A vacancy", "                // A vacancy"],
+    ['caller-gone-and-runs-go-on',
+     'node/node.cpp', "    if (pending.kind == PendingCall::Kind::Submission && pending.isAsking) {\n        this->withdraw(own, pending);\n    }\n",
+     "    (void)own;\n"],
+    ['link-dropped-unnoticed',
+     'node/peer_bus.cpp', "            lost.push_back(link->first);\n", ""],
 );
 
 my %byName = map { $_->[0] => $_ } @mutations;
-if (!@ARGV) {
-    print join("\n", map { $_->[0] } @mutations), "\n";
+if (!@ARGV || $ARGV[0] =~ m{^--part=(.*)}) {
+    my $part = @ARGV ? $1 : '';
+    my @named = grep { $part eq '' || ($_->[1] =~ m{/}) == ($part eq 'platform') } @mutations;
+    print join("\n", map { $_->[0] } @named), "\n";
     exit 0;
 }
 my $chosen = $byName{$ARGV[0]} or die "no break is named $ARGV[0]\n";
 my ($name, @edits) = @$chosen;
 while (my ($file, $text, $replacement) = splice(@edits, 0, 3)) {
-    my $path = "src/controllers/$file";
+    my $path = $file =~ m{/} ? "src/$file" : "src/controllers/$file";
     open(my $in, '<', $path) or die "$name: $path: $!\n";
     my $content = do { local $/; <$in> };
     close($in);
