Nobody takes a lead from an instance that the store names and that is alive; an old word about the store counts no more

An instance whose links were not back yet knew of no leader and claimed cells from leaders that worked; and a leader's word 'unconfirmed for 2.5 s' of before the cut, while the store was down, still counted 6 s later. What: whoever claims a lead first looks at the owner that the lead row names; an owner whose own row is fresh and of the same incarnation is noted as leader instead. storeSilence counts only while the link is heard. Before: InstanceThatHearsNobodyLeavesTheLeadToWhoeverTheStoreNames 10 tokens instead of 2, LeaderThatSaysItIsCutFromTheStoreIsLostUnlessThatWordIsOld fails. After: 21 cases of node_test pass. The world of these tests now counts a killed instance as silent, which it had not.

--- a/src/cells/cell_action.h
+++ b/src/cells/cell_action.h
@@ -70,6 +70,8 @@
 
 /** The lead is lost or given up; nothing follows from this leader. */
 struct LeadEnded {
+    InstanceName leader; ///< Who leads instead, if the store told; empty otherwise.
+    FenceToken token; ///< Its fencing token.
 };
 
 /** One line for the log. */
--- a/src/cells/cell_leader.cpp
+++ b/src/cells/cell_leader.cpp
@@ -164,6 +164,11 @@
         }
         former = lead.value();
     }
+    if (former && !former->owner.empty() && !this->options.mayReplace(*former)) {
+        this->ending = {former->owner, former->token};
+        this->endLead("the store names " + former->owner.value + ", which is alive", false);
+        return;
+    }
     this->chain.adopt(former, version);
     this->phase = Phase::Claiming;
     this->log("lead-claim", {{"former", former ? former->owner.value : ""}, {"token", toText(this->chain.token().value)}});
@@ -305,7 +310,7 @@
             this->actions.emplace_back(AnswerCancel{call, {JobAnswer::Kind::Unknown, JobState::Queued}});
         }
     }
-    this->actions.emplace_back(LeadEnded{});
+    this->actions.emplace_back(this->ending);
 }
 
 std::shared_ptr<CellJob> CellLeader::findJob(const JobId &id) const
--- a/src/cells/cell_leader.h
+++ b/src/cells/cell_leader.h
@@ -5,6 +5,7 @@
 #include "cells/cell_job.h"
 #include "cells/commit_chain.h"
 
+#include <functional>
 #include <map>
 #include <set>
 #include <span>
@@ -17,6 +18,8 @@
     InstanceName self; ///< This instance.
     Incarnation incarnation; ///< Of this process.
     LeaseTerms lease; ///< Bounds of the leases of endpoints.
+    /** Whether a leader that the store names may be replaced; asked once, before the lead is taken. */
+    std::function<bool(const LeadRecord &)> mayReplace = [](const LeadRecord &) { return true; };
 };
 
 /** How busy a cell is. */
@@ -189,6 +192,7 @@
     CellLeaderOptions options; ///< Set-up.
     CommitChain chain; ///< Transactions.
     Phase phase = Phase::Reading; ///< Where it is on its way.
+    LeadEnded ending; ///< What is told when the lead ends.
     TimePoint advancedAt; ///< When advance() was called last.
     TimePoint resumedAt; ///< When the process went on after standing still; no orders until the store has confirmed the lead since.
     TimePoint nextLeadReadAt; ///< When to read the lead row again while Reading.
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -13,11 +13,8 @@
     if (lead.leader.empty() || lead.isGone) {
         return true;
     }
-    if (lead.storeSilence > limits.storeSilence) {
-        return true;
-    }
     if (lead.linkSilence <= limits.linkSilence) {
-        return false;
+        return lead.storeSilence > limits.storeSilence;
     }
     // Across failure domains a silent link may be a partition, behind which the leader goes on working.
     return (isObserverInDomain && lead.isInDomain) || lead.rowSilence > limits.rowSilence;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -147,6 +147,8 @@
     void withLeader(const CellName &cell, std::uint64_t generation, Use use);
     void planLeads(TimePoint now);
     void claim(const CellName &cell);
+    bool mayReplace(const CellName &cell, const LeadRecord &lead) const;
+    void noteLeaderInStore(const CellName &cell, const LeadEnded &lead);
     void returnLeads(TimePoint now);
     void advertise(TimePoint now);
     void noteAdvert(const InstanceName &from, const CellAdvert &advert);
--- a/src/node/node_cells.cpp
+++ b/src/node/node_cells.cpp
@@ -147,7 +147,7 @@
             },
             [&](AnswerSubmission &reply) { this->onSubmitAnswer(reply.call, std::move(reply.answer)); },
             [&](AnswerCancel &reply) { this->onJobAnswer(reply.call, reply.answer); },
-            [&](LeadEnded &) {
+            [&](LeadEnded &ending) {
                 CellView &view = this->cells.at(cell);
                 this->led.erase(cell);
                 view.isVacant = false; // A vacancy of before the lead says nothing of now: others have their turn first.
@@ -155,6 +155,9 @@
                     view.leader = InstanceName();
                     view.takesJobs = false;
                 }
+                if (!ending.leader.empty()) {
+                    this->noteLeaderInStore(cell, ending);
+                }
                 this->isAdvertDue = true;
             },
             [&](LogDecision &line) { this->ports.log(line); },
@@ -257,12 +260,38 @@
 {
     LedCell &entry = this->led[cell];
     entry.generation = ++this->lastGeneration;
-    entry.leader = std::make_unique<CellLeader>(
-        CellLeaderOptions{cell, this->options.self.name, this->options.self.incarnation, this->options.lease}, this->ports.now());
+    CellLeaderOptions leaderOptions{cell, this->options.self.name, this->options.self.incarnation, this->options.lease};
+    leaderOptions.mayReplace = [this, cell](const LeadRecord &lead) { return this->mayReplace(cell, lead); };
+    entry.leader = std::make_unique<CellLeader>(std::move(leaderOptions), this->ports.now());
     entry.leader->setEndpoints(this->ports.now(), this->endpointsOf(cell));
     this->runActions(cell);
 }
 
+bool Node::mayReplace(const CellName &cell, const LeadRecord &lead) const
+{
+    const auto member = this->members.find(lead.owner);
+    const bool isKnownAsLost = this->cells.at(cell).leader == lead.owner;
+    const bool isOwn = lead.owner == this->options.self.name;
+    if (isOwn || isKnownAsLost || member == this->members.end() || member->second.record.incarnation != lead.incarnation) {
+        return true;
+    }
+    return !this->isMemberAlive(member->second);
+}
+
+void Node::noteLeaderInStore(const CellName &cell, const LeadEnded &lead)
+{
+    CellView &view = this->cells.at(cell);
+    this->log("lead-known",
+              {{"cell", cell.value}, {"leader", lead.leader.value}, {"token", std::to_string(lead.token.value)}, {"by", "store"}});
+    this->moveCallsFrom(cell, view.leader);
+    view.leader = lead.leader;
+    view.token = lead.token;
+    view.isGone = false;
+    view.takesJobs = false; // Until it says so itself.
+    view.storeSilence = Duration{};
+    view.load = CellLoad();
+}
+
 void Node::returnLeads(TimePoint now)
 {
     for (auto &[cell, entry] : this->led) {
--- a/src/node/tests/calls_test.cpp
+++ b/src/node/tests/calls_test.cpp
@@ -194,6 +194,19 @@
     BOOST_TEST(fleet.tokenOf(cell).value <= former.value + 2);
 }
 
+BOOST_AUTO_TEST_CASE(InstanceThatHearsNobodyLeavesTheLeadToWhoeverTheStoreNames)
+{
+    NodeWorld fleet(3, 3, true, true);
+    fleet.world.pass(3s);
+    fleet.nodes[2].isDeaf = true;
+    const CellName cell("cell");
+    fleet.kill(*fleet.leader());
+    fleet.world.pass(3s);
+    const FenceToken successor = fleet.tokenOf(cell);
+    fleet.world.pass(5s);
+    BOOST_TEST(fleet.tokenOf(cell).value == successor.value);
+}
+
 BOOST_AUTO_TEST_CASE(JobHandedInAgainThroughAnotherCellIsStillFoundInItsOwn)
 {
     NodeWorld fleet(2, 2, true);
--- a/src/node/tests/leadership_test.cpp
+++ b/src/node/tests/leadership_test.cpp
@@ -39,6 +39,15 @@
     BOOST_TEST(isLeaderLost(leadOf(1s, 3s, true), false, Limits));
 }
 
+BOOST_AUTO_TEST_CASE(LeaderThatSaysItIsCutFromTheStoreIsLostUnlessThatWordIsOld)
+{
+    LeadObservation lead = leadOf(100ms, 0s, false);
+    lead.storeSilence = 3s;
+    BOOST_TEST(isLeaderLost(lead, false, Limits));
+    lead.linkSilence = 5s; // A partition has begun since.
+    BOOST_TEST(!isLeaderLost(lead, false, Limits));
+}
+
 BOOST_AUTO_TEST_CASE(CandidatesOfTheDomainComeFirstAndTakeTurns)
 {
     const std::vector<LeadCandidate> candidates = {{InstanceName("far"), FailureDomain("b"), 1, 0},
--- a/src/node/tests/node_world.cpp
+++ b/src/node/tests/node_world.cpp
@@ -101,6 +101,7 @@
 void NodeWorld::kill(std::size_t node)
 {
     this->nodes[node].isUp = false;
+    this->nodes[node].silentSince = this->world.now;
     this->nodes[node].peers.clear();
     for (std::size_t other = 0; other < this->nodes.size(); ++other) {
         if (this->nodes[other].peers.erase(node) == 0) {
@@ -196,7 +197,9 @@
             return false;
         }
         this->world.at(this->world.now + LinkDelay, [this, node, peer, bytes] {
-            this->deliver(peer, [this, node, peer, bytes] { this->nodes[peer].handlers.asked(handleOf(node), bytes); });
+            if (!this->nodes[peer].isDeaf) {
+                this->deliver(peer, [this, node, peer, bytes] { this->nodes[peer].handlers.asked(handleOf(node), bytes); });
+            }
         });
         return true;
     };
@@ -209,7 +212,7 @@
     links.isLinked = [this, node, indexOf](const InstanceName &name) { return this->nodes[node].peers.contains(indexOf(name)); };
     links.silence = [this, indexOf](const InstanceName &name) {
         const WorldNode &peer = this->nodes[indexOf(name)];
-        return peer.isFrozen ? this->world.now - peer.silentSince : Duration{};
+        return peer.isFrozen || !peer.isUp ? this->world.now - peer.silentSince : Duration{};
     };
     links.tick = [] {};
     return links;
--- a/src/node/tests/node_world.h
+++ b/src/node/tests/node_world.h
@@ -15,7 +15,8 @@
     InstanceRecord record; ///< Itself.
     bool isUp = true; ///< Whether its process lives.
     bool isFrozen = false; ///< Whether its process stands still.
-    TimePoint silentSince; ///< Since when nobody has heard it; only if frozen.
+    bool isDeaf = false; ///< Whether what others send it is lost, though its connections stay open.
+    TimePoint silentSince; ///< Since when nobody has heard it; only if frozen or killed.
     std::set<std::size_t> peers; ///< Nodes that it has a link to.
     std::vector<std::function<void()>> held; ///< What came while it was frozen.
     std::map<CallId, SubmitAnswer> submitAnswers; ///< By call.
