A leader that is asked to stop serves on until the store knows of it

Ruled out: a hand-over by link, which would need a second way of agreeing who leads; orders after a release that may have been stored are as safe as any of an unconfirmed leader: the successor's fencing token reaches every endpoint before it relies on them. Before: LeaderThatIsAskedToStopServesOnUntilTheStoreKnows fails.

--- a/src/cells/cell_dispatch.cpp
+++ b/src/cells/cell_dispatch.cpp
@@ -43,7 +43,7 @@
 
 bool CellLeader::mayGiveOrders(TimePoint now) const
 {
-    return this->phase == Phase::Leading && !this->batch.releases && now < this->chain.confirmedAt() + UnconfirmedLeadLimit
+    return this->phase == Phase::Leading && now < this->chain.confirmedAt() + UnconfirmedLeadLimit
            && this->chain.confirmedAt() >= this->resumedAt && now <= this->advancedAt + StandstillLimit;
 }
 
@@ -81,7 +81,7 @@
 
 void CellLeader::pump(TimePoint now)
 {
-    if (!this->mayGiveOrders(now) || this->wantsRelease) {
+    if (!this->mayGiveOrders(now)) {
         return;
     }
     int misses = 0;
--- a/src/cells/cell_leader.cpp
+++ b/src/cells/cell_leader.cpp
@@ -78,9 +78,6 @@
         return;
     }
     this->wantsRelease = true;
-    for (const PendingAccept &pending : std::exchange(this->pendingAccepts, {})) {
-        this->refuse(pending.calls, *pending.job, NotLeadingReason);
-    }
     this->flush(now);
 }
 
--- a/src/cells/cell_leader.h
+++ b/src/cells/cell_leader.h
@@ -69,7 +69,7 @@
     /** @return How a job stands, or NoSuchJob if this cell has none of this name, or Unknown if that can't be told now. */
     JobAnswer query(const JobId &id) const;
 
-    /** Give up the lead in order: nothing new is taken or started, and LeadEnded follows when that is stored. */
+    /** Give up the lead in order: it goes on until that is stored, and LeadEnded follows. */
     void release(TimePoint now);
 
     /** @return Whether the lead is being given up. */
--- a/src/cells/cell_leader_jobs.cpp
+++ b/src/cells/cell_leader_jobs.cpp
@@ -81,7 +81,7 @@
 
 std::string_view CellLeader::findRefusal(const CellJob &job) const
 {
-    if (!this->isLeading() || this->wantsRelease) {
+    if (!this->isLeading()) {
         return NotLeadingReason;
     }
     const bool isServable = std::ranges::all_of(job.spec.steps, [&](const StepSpec &step) {
--- a/src/cells/tests/leader_test.cpp
+++ b/src/cells/tests/leader_test.cpp
@@ -318,6 +318,19 @@
     BOOST_TEST(this->world.violations.empty(), this->world.violations.front());
 }
 
+BOOST_FIXTURE_TEST_CASE(LeaderThatIsAskedToStopServesOnUntilTheStoreKnows, OneLeader)
+{
+    this->world.storeFate = [] { return CallFate::Refused; };
+    this->world.leaders[0].leader->release(this->world.now);
+    const CallId call = this->world.submit(this->leader, Job, 2, true);
+    this->world.pass(500ms);
+    BOOST_REQUIRE(this->world.leaders[0].submitAnswers.contains(call));
+    BOOST_TEST((this->world.leaders[0].submitAnswers.at(call).verdict == SubmitVerdict::Ended));
+    BOOST_TEST(!this->world.leaders[0].hasEnded);
+    this->world.storeFate = [] { return CallFate::Answered; };
+    BOOST_TEST(this->world.passUntil([this] { return this->world.leaders[0].hasEnded; }, 1s));
+}
+
 BOOST_FIXTURE_TEST_CASE(WithdrawnJobThatStillWaitsIsNoLoad, OneLeader)
 {
     this->world.workTime = 10s;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -134,7 +134,7 @@
     const auto &[spec, terms] = *pending.job;
     const CellView &view = this->cells.at(pending.cell);
     const auto own = this->led.find(pending.cell);
-    if (own != this->led.end() && own->second.leader->isLeading() && !own->second.leader->isReleasing()) {
+    if (own != this->led.end() && own->second.leader->isLeading()) {
         pending.isAsking = true;
         pending.leader = InstanceName();
         const CellName cell = pending.cell;
@@ -228,7 +228,7 @@
         this->onJobAnswer(call, {JobAnswer::Kind::Unknown, JobState::Queued});
         return;
     }
-    if (const auto own = this->led.find(pending.cell); own != this->led.end() && !own->second.leader->isReleasing()) {
+    if (const auto own = this->led.find(pending.cell); own != this->led.end()) {
         if (pending.question == JobQuestion::State) {
             this->onJobAnswer(call, own->second.leader->query(pending.id));
             return;
--- a/src/node/node_cells.cpp
+++ b/src/node/node_cells.cpp
@@ -316,7 +316,7 @@
     message.isLeaving = this->isLeaving;
     message.configVersion = this->fleetConfig.version;
     for (auto &[cell, entry] : this->led) {
-        if (!entry.leader->isLeading() || entry.leader->isReleasing()) {
+        if (!entry.leader->isLeading()) {
             continue;
         }
         CellAdvert advert{cell, entry.leader->token(), true, entry.leader->storeSilence(now), entry.leader->load()};
