Try: a leader gives orders for 8 s instead of 6 s without the store's word

Price: after a change of leader, tasks of recovered jobs and acknowledgements wait for 9.2 s instead of 7.2 s if an endpoint of the roster never answers.

--- a/src/cells/commit_chain.h
+++ b/src/cells/commit_chain.h
@@ -8,7 +8,7 @@
 
 /** A leader that the store has not confirmed for so long gives no orders, and its successor waits as long for what it can't ask. */
 inline constexpr Duration StandstillLimit = std::chrono::milliseconds(500); // Others may take the lead after 0.9 s of silence.
-inline constexpr Duration UnconfirmedLeadLimit = std::chrono::seconds(6); // Longer than most outages of the store, 4.5 s.
+inline constexpr Duration UnconfirmedLeadLimit = std::chrono::seconds(8); // Outages of the store last up to 7 s; a kill may wait for it.
 
 /** What an answer of the store meant for the chain. */
 enum class ChainStep : std::uint8_t {
