A cell has a leader 0.3 s after the start of its domain's first instance

What: 0.3 s for a cell of the own failure domain, as a claim no longer takes a lead from an instance that is alive; 0.7 s for others. Ruled out: reading of the store at the start (15 ms). Before: CellHasALeaderHalfASecondAfterTheStartOfItsInstances fails.

--- a/src/node/node_cells.cpp
+++ b/src/node/node_cells.cpp
@@ -12,6 +12,7 @@
 constexpr Duration AdvertInterval = std::chrono::milliseconds(250); // `pending` may be 2 s old; loads should be fresher.
 constexpr Duration PlanInterval = std::chrono::milliseconds(50); // Of the looks at who leads.
 constexpr Duration SettleTime = std::chrono::milliseconds(700); // At the start, until all instances have had time to register.
+constexpr Duration OwnSettleTime = std::chrono::milliseconds(300); // For a cell of the own domain; whoever is first keeps the lead.
 constexpr Duration StoreSteadyTime = std::chrono::milliseconds(1500); // Of own contact with the store, before a leader's is doubted.
 constexpr Duration ReadRetry = std::chrono::milliseconds(150); // After a failed read of a cell's rows.
 constexpr Duration MemberForgetting = std::chrono::seconds(30); // An instance whose row hasn't changed for so long gets no link.
@@ -220,12 +221,13 @@
 void Node::planLeads(TimePoint now)
 {
     this->nextPlanAt = now + PlanInterval;
-    if (this->isLeaving || now < this->startedAt + SettleTime || this->membersReadAt == TimePoint() || !this->areEndpointsKnown) {
+    if (this->isLeaving || this->membersReadAt == TimePoint() || !this->areEndpointsKnown) {
         return;
     }
     const std::vector<LeadCandidate> able = this->candidates();
     for (auto &[cell, view] : this->cells) {
-        if (this->led.contains(cell)) {
+        const bool isInOwnDomain = this->options.self.domain.value == cell.value;
+        if (this->led.contains(cell) || now < this->startedAt + (isInOwnDomain ? OwnSettleTime : SettleTime)) {
             continue;
         }
         LeadObservation lead;
@@ -240,7 +242,7 @@
             lead.isInDomain = member != this->members.end() && member->second.record.domain.value == cell.value;
             lead.rowSilence = member == this->members.end() ? Duration::max() : this->membersReadAt - member->second.changedAt;
         }
-        if (!isLeaderLost(lead, this->options.self.domain.value == cell.value, this->limits)) {
+        if (!isLeaderLost(lead, isInOwnDomain, this->limits)) {
             view.isVacant = false;
             continue;
         }
--- a/src/node/tests/calls_test.cpp
+++ b/src/node/tests/calls_test.cpp
@@ -39,6 +39,12 @@
 
 BOOST_AUTO_TEST_SUITE(Calls)
 
+BOOST_FIXTURE_TEST_CASE(CellHasALeaderHalfASecondAfterTheStartOfItsInstances, ThreeNodes)
+{
+    const TimePoint start(100s); // Of the world, which waits 0.5 s more once there is a leader.
+    BOOST_TEST((this->fleet.world.now - start - 500ms <= 500ms));
+}
+
 BOOST_FIXTURE_TEST_CASE(JobIsAnsweredThroughAnInstanceThatDoesNotLead, ThreeNodes)
 {
     BOOST_TEST(this->endsAs(this->fleet.submit(this->entry, Job, 3), JobState::Done));
