Only leaders follow the registry, rows are decoded once, and lapsed endpoints get the time to be back

What: EndpointRegistry decodes only rows with a new version and passes on only changed records; instances follow the registry while they lead, and for 10 s after; a record that vanishes within 2.3 s of a failure of the store is kept, unless it was draining. setEndpoints() of the leader no longer searches all records for each endpoint. Before: the follower decoded 3,000 rows for a change of one (HeartbeatsAreDecodedOnceAndPassedOnNever would count 6,000 instead of 3,100).

--- a/src/cells/cell_leader.cpp
+++ b/src/cells/cell_leader.cpp
@@ -36,12 +36,13 @@
 void CellLeader::setEndpoints(TimePoint now, std::span<const EndpointRecord> records)
 {
     for (auto &[name, endpoint] : this->endpoints) {
-        endpoint->isRegistered = std::ranges::find(records, name, &EndpointRecord::name) != records.end();
+        endpoint->isRegistered = false;
     }
     for (const EndpointRecord &record : records) {
         const auto found = this->endpoints.find(record.name);
         if (found != this->endpoints.end()) {
             found->second->record = record;
+            found->second->isRegistered = true;
             continue;
         }
         this->endpoints.emplace(record.name, std::make_unique<CellEndpoint>(record, this->options.lease));
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -45,6 +45,12 @@
     /** Take over the endpoints of the registry. */
     void setEndpoints(std::vector<EndpointRecord> records);
 
+    /** @return Whether the registry has to be followed, as this instance leads cells or is about to. */
+    bool needsEndpoints() const;
+
+    /** Forget the endpoints, as the registry is no longer followed. @pre !needsEndpoints() */
+    void forgetEndpoints();
+
     /** Hand in a job for a caller; an answer follows. @pre findSpecFault() is empty. */
     void submit(CallId call, JobId id, JobSpec spec, JobTerms terms, TimePoint deadline);
 
@@ -173,7 +179,8 @@
     LeadershipLimits limits; ///< When leaders count as lost.
     FleetConfig fleetConfig; ///< In force.
     std::vector<EndpointRecord> endpoints; ///< As the registry lists them.
-    bool areEndpointsKnown = false; ///< Whether the registry was read.
+    bool areEndpointsKnown = false; ///< Whether the registry was read and is followed.
+    TimePoint endpointsWantedUntil; ///< Until when the registry is needed without a lead.
     std::map<CellName, CellView> cells; ///< All cells.
     std::map<CellName, LedCell> led; ///< Cells that this instance leads.
     std::map<InstanceName, Member> members; ///< Other instances.
--- a/src/node/node_cells.cpp
+++ b/src/node/node_cells.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cassert>
 
 namespace Tanagertally::Cells {
 
@@ -13,6 +14,7 @@
 constexpr Duration PlanInterval = std::chrono::milliseconds(50); // Of the looks at who leads.
 constexpr Duration SettleTime = std::chrono::milliseconds(700); // At the start, until all instances have had time to register.
 constexpr Duration OwnSettleTime = std::chrono::milliseconds(300); // For a cell of the own domain; whoever is first keeps the lead.
+constexpr Duration EndpointLinger = std::chrono::seconds(10); // The registry is followed on after a lead, which may come back.
 constexpr Duration StoreSteadyTime = std::chrono::milliseconds(1500); // Of own contact with the store, before a leader's is doubted.
 constexpr Duration ReadRetry = std::chrono::milliseconds(150); // After a failed read of a cell's rows.
 constexpr Duration MemberForgetting = std::chrono::seconds(30); // An instance whose row hasn't changed for so long gets no link.
@@ -75,6 +77,18 @@
     }
 }
 
+bool Node::needsEndpoints() const
+{
+    return !this->led.empty() || this->ports.now() < this->endpointsWantedUntil;
+}
+
+void Node::forgetEndpoints()
+{
+    assert(this->led.empty());
+    this->areEndpointsKnown = false;
+    this->endpoints.clear();
+}
+
 std::vector<EndpointRecord> Node::endpointsOf(const CellName &cell) const
 {
     std::vector<EndpointRecord> own;
@@ -151,6 +165,7 @@
             [&](LeadEnded &ending) {
                 CellView &view = this->cells.at(cell);
                 this->led.erase(cell);
+                this->endpointsWantedUntil = this->ports.now() + EndpointLinger;
                 view.isVacant = false; // A vacancy of before the lead says nothing of now: others have their turn first.
                 if (view.leader == this->options.self.name) {
                     view.leader = InstanceName();
@@ -221,7 +236,7 @@
 void Node::planLeads(TimePoint now)
 {
     this->nextPlanAt = now + PlanInterval;
-    if (this->isLeaving || this->membersReadAt == TimePoint() || !this->areEndpointsKnown) {
+    if (this->isLeaving || this->membersReadAt == TimePoint()) {
         return;
     }
     const std::vector<LeadCandidate> able = this->candidates();
@@ -251,7 +266,11 @@
             view.vacantSince = now;
             this->log("lead-vacant", {{"cell", cell.value}, {"leader", lead.leader.value}, {"gone", lead.isGone ? "yes" : "no"}}, true);
         }
-        if (isOwnTurn(this->options.self.name, cell, FailureDomain(cell.value), able, now - view.vacantSince, this->limits)) {
+        if (!isOwnTurn(this->options.self.name, cell, FailureDomain(cell.value), able, now - view.vacantSince, this->limits)) {
+            continue;
+        }
+        this->endpointsWantedUntil = now + EndpointLinger;
+        if (this->areEndpointsKnown) {
             this->claim(cell);
         }
     }
--- a/src/node/table_follower.cpp
+++ b/src/node/table_follower.cpp
@@ -28,6 +28,14 @@
     this->readPage(this->options.from);
 }
 
+void TableFollower::stop()
+{
+    ++this->generation;
+    this->isWaiting = false;
+    this->isWhole = false;
+    this->rows.clear();
+}
+
 void TableFollower::tick(TimePoint now)
 {
     if (!this->isWaiting || now < this->retryAt) {
@@ -116,12 +124,9 @@
     this->start();
 }
 
-void TableFollower::setPause(Duration length)
+TimePoint TableFollower::lastFailure() const
 {
-    this->options.pause = length;
-    if (this->isWaiting) {
-        this->retryAt = std::min(this->retryAt, this->ports.now() + length);
-    }
+    return this->failedAt;
 }
 
 void TableFollower::apply(const Row &row)
@@ -148,6 +153,7 @@
                          true});
     }
     this->isFailing = true;
+    this->failedAt = this->ports.now();
     this->isWhole = this->isWhole && !startsOver;
     this->isWaiting = true;
     this->retryAt = this->ports.now() + (result.historyLost ? Duration{} : this->pause);
--- a/src/node/table_follower.h
+++ b/src/node/table_follower.h
@@ -30,11 +30,14 @@
     /** Begin to read. */
     void start();
 
+    /** Stop, and forget what was read; start() begins anew. */
+    void stop();
+
     /** Read the table anew, unless that was done a moment ago: a call in flight may hang. */
     void restart(TimePoint now);
 
-    /** Set the pause between two calls. */
-    void setPause(Duration length);
+    /** @return When a call failed last. */
+    TimePoint lastFailure() const;
 
     /** Repeat what failed. To be called every 20 ms or so. */
     void tick(TimePoint now);
@@ -57,6 +60,7 @@
     bool isWaiting = false; ///< Whether to try again at `retryAt`.
     TimePoint retryAt; ///< When.
     Duration pause{}; ///< Length of the last pause.
+    TimePoint failedAt; ///< When a call failed last.
     TimePoint restartedAt; ///< When restart() had an effect last.
     std::uint64_t generation = 0; ///< Tells answers to calls that were given up apart.
 };
--- /dev/null
+++ b/src/node/tests/registry_test.cpp
@@ -0,0 +1,95 @@
+// Registrations of many endpoints whose rows are rewritten all the time.
+#include "node/endpoint_registry.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Tanagertally;
+using namespace Tanagertally::Cells;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** A row says "STATE SEQUENCE". */
+Result<EndpointRecord> decodeText(std::string_view id, std::string_view value)
+{
+    if (!value.starts_with("ready ") && !value.starts_with("draining ")) {
+        return makeError(ErrorCode::BadInput, "state");
+    }
+    EndpointRecord record;
+    record.name = EndpointName(std::string(id));
+    record.isDraining = value.starts_with("draining ");
+    return record;
+}
+
+struct ManyRows {
+    std::vector<std::string> faults;
+    EndpointRegistry registry{decodeText, [this](const std::string &id, const Error &) { this->faults.push_back(id); }};
+    std::map<std::string, Row> rows;
+    std::uint64_t version = 0;
+    TimePoint now{100s};
+    TimePoint lastFailure;
+
+    void write(const std::string &id, const std::string &value)
+    {
+        this->rows[id] = {{"servers", "", id}, value, RowVersion(++this->version), false};
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Registry)
+
+BOOST_FIXTURE_TEST_CASE(HeartbeatsAreDecodedOnceAndPassedOnNever, ManyRows)
+{
+    constexpr std::size_t Endpoints = 3000;
+    for (std::size_t number = 0; number < Endpoints; ++number) {
+        this->write("e" + std::to_string(number), "ready 1");
+    }
+    BOOST_TEST(this->registry.update(this->rows, this->now, this->lastFailure));
+    BOOST_TEST(this->registry.records().size() == Endpoints);
+    for (std::size_t number = 0; number < 100; ++number) {
+        this->write("e" + std::to_string(number), "ready 2");
+    }
+    BOOST_TEST(!this->registry.update(this->rows, this->now, this->lastFailure));
+    BOOST_TEST(this->registry.decodedRows() == Endpoints + 100);
+    this->write("e7", "draining 3");
+    BOOST_TEST(this->registry.update(this->rows, this->now, this->lastFailure));
+    this->rows.erase("e8");
+    BOOST_TEST(this->registry.update(this->rows, this->now, this->lastFailure));
+    BOOST_TEST(this->registry.records().size() == Endpoints - 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(EndpointWhoseRowLapsedWhileTheStoreWasAwayIsKeptUntilItCanBeBack, ManyRows)
+{
+    this->write("alive", "ready 1");
+    this->write("leaving", "draining 1");
+    this->registry.update(this->rows, this->now, this->lastFailure);
+    this->lastFailure = this->now;
+    this->now += 300ms;
+    this->rows.clear();
+    this->registry.update(this->rows, this->now, this->lastFailure);
+    BOOST_REQUIRE(this->registry.records().size() == 1U);
+    BOOST_TEST(this->registry.records()[0].name.value == "alive");
+    this->now += 1800ms; // The platform lets live endpoints be back within about 2 s.
+    this->write("alive", "ready 2");
+    BOOST_TEST(!this->registry.update(this->rows, this->now, this->lastFailure));
+    this->rows.clear();
+    this->now += 500ms;
+    BOOST_TEST(this->registry.update(this->rows, this->now, this->lastFailure));
+    BOOST_TEST(this->registry.records().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(UnreadableRowNamesNoEndpointAndIsReportedOnce, ManyRows)
+{
+    this->write("odd", "???");
+    BOOST_TEST(!this->registry.update(this->rows, this->now, this->lastFailure));
+    this->write("odd", "?? again");
+    this->registry.update(this->rows, this->now, this->lastFailure);
+    BOOST_TEST(this->faults.size() == 1U);
+    BOOST_TEST(this->registry.records().empty());
+    this->write("odd", "ready 1");
+    BOOST_TEST(this->registry.update(this->rows, this->now, this->lastFailure));
+    BOOST_TEST(this->registry.records().size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
