Instances that lead nothing stay silent, and pings are rarer in large fleets

What: only leaders tell it every 250 ms (450 ms at 300 instances), others every 2 s and at changes; pings of a connection come every 300 ms up to 60 instances and every 5 ms x instances beyond; what a leader tells on its own connection counts as a sign of life, but not for the connection to it, which still has to answer its pings. Ruled out: links to leaders only, which needs another way to learn of leaders; left open. Before: OnlyTheLeaderTellsTheOthersAllTheTime 80 messages in 10 s by each of the others instead of at most 12.

--- a/src/node/node_cells.cpp
+++ b/src/node/node_cells.cpp
@@ -11,6 +11,8 @@
 
 constexpr Duration HeartbeatInterval = std::chrono::seconds(1); // LeadershipLimits::rowSilence allows for two that are missed.
 constexpr Duration AdvertInterval = std::chrono::milliseconds(250); // `pending` may be 2 s old; loads should be fresher.
+constexpr Duration IdleAdvertInterval = std::chrono::seconds(2); // Of an instance that leads nothing; changes are told at once.
+constexpr Duration AdvertTimePerMember = std::chrono::microseconds(1500); // Keeps a leader of 300 instances under 700 messages a second.
 constexpr Duration PlanInterval = std::chrono::milliseconds(50); // Of the looks at who leads.
 constexpr Duration SettleTime = std::chrono::milliseconds(700); // At the start, until all instances have had time to register.
 constexpr Duration OwnSettleTime = std::chrono::milliseconds(300); // For a cell of the own domain; whoever is first keeps the lead.
@@ -332,7 +334,8 @@
 void Node::advertise(TimePoint now)
 {
     this->isAdvertDue = false;
-    this->nextAdvertAt = now + AdvertInterval;
+    const Duration leaderInterval = std::max<Duration>(AdvertInterval, AdvertTimePerMember * this->members.size());
+    this->nextAdvertAt = now + (this->led.empty() ? IdleAdvertInterval : leaderInterval);
     LinkAdvert message;
     message.isLeaving = this->isLeaving;
     message.configVersion = this->fleetConfig.version;
@@ -461,6 +464,7 @@
                            return;
                        }
                        const InstanceName from = asker->second;
+                       this->links.noteHeard(from);
                        if (advert.configVersion > this->fleetConfig.version) {
                            this->ports.rereadConfig();
                        }
--- a/src/node/node_ports.h
+++ b/src/node/node_ports.h
@@ -17,6 +17,7 @@
     std::function<void(LinkHandle, const std::string &)> reply; ///< Answer on a link that another instance opened.
     std::function<bool(const InstanceName &)> isLinked; ///< Whether the link to an instance is open.
     std::function<Duration(const InstanceName &)> silence; ///< Time since an instance was heard; the longest if never.
+    std::function<void(const InstanceName &)> noteHeard; ///< An instance was heard on a link that it opened itself.
     std::function<void()> tick; ///< Ping what is open, drop what is silent, open what is missing.
 };
 
--- a/src/node/peer_bus.cpp
+++ b/src/node/peer_bus.cpp
@@ -11,7 +11,8 @@
 using SteadyClock = std::chrono::steady_clock;
 
 constexpr std::chrono::milliseconds PingInterval{300}; ///< A third of the silence after which a leader counts as lost.
-constexpr std::chrono::milliseconds DeadLinkSilence{1200}; ///< Four pings without an answer: the connection is given up.
+constexpr std::chrono::milliseconds PingTimePerPeer{5}; ///< Between pings of one connection, so that 300 instances send 200 a second each.
+constexpr int MissedPings = 4; ///< Without an answer: the connection is given up.
 constexpr std::chrono::milliseconds RedialInterval{250}; ///< Between attempts to open a connection.
 constexpr std::chrono::milliseconds DialTimeout{1000}; ///< A connection that isn't open by then is given up.
 
@@ -119,18 +120,33 @@
     if (link == this->peers.end() || link->second.heardAt == SteadyClock::time_point()) {
         return Duration::max();
     }
-    return SteadyClock::now() - link->second.heardAt;
+    return SteadyClock::now() - std::max(link->second.heardAt, link->second.signAt);
+}
+
+void PeerBus::noteHeard(const InstanceName &peer)
+{
+    const auto link = this->peers.find(peer);
+    if (link != this->peers.end() && link->second.isOpen) {
+        link->second.signAt = SteadyClock::now();
+    }
+}
+
+SteadyClock::duration PeerBus::pingInterval() const
+{
+    return std::max<SteadyClock::duration>(PingInterval, PingTimePerPeer * this->peers.size());
 }
 
 void PeerBus::tick()
 {
     const auto now = SteadyClock::now();
+    const auto interval = this->pingInterval();
     this->dropSilentAskers(now);
     for (auto &[name, link] : this->peers) {
-        const bool isSilent = link.isOpen ? now - link.heardAt > DeadLinkSilence : link.handle != 0 && now - link.dialedAt > DialTimeout;
+        const bool isSilent
+            = link.isOpen ? now - link.heardAt > MissedPings * interval : link.handle != 0 && now - link.dialedAt > DialTimeout;
         if (isSilent) {
             this->drop(name, link, false);
-        } else if (link.isOpen && now - link.pingedAt > PingInterval) {
+        } else if (link.isOpen && now - link.pingedAt > interval) {
             link.pingedAt = now;
             this->transport->post([transport = this->transport.get(), handle = link.handle] { transport->ping(handle); });
         } else if (link.handle == 0 && now - link.dialedAt > RedialInterval) {
@@ -143,7 +159,7 @@
 {
     std::vector<ConnectionHandle> silent;
     for (const auto &[handle, heardAt] : this->askers) {
-        if (now - heardAt > DeadLinkSilence) {
+        if (now - heardAt > MissedPings * this->pingInterval()) {
             silent.push_back(handle);
         }
     }
@@ -162,6 +178,7 @@
     result.reply = [this](LinkHandle link, const std::string &bytes) { this->reply(link, bytes); };
     result.isLinked = [this](const InstanceName &peer) { return this->isLinked(peer); };
     result.silence = [this](const InstanceName &peer) { return this->silence(peer); };
+    result.noteHeard = [this](const InstanceName &peer) { this->noteHeard(peer); };
     result.tick = [this] { this->tick(); };
     return result;
 }
--- a/src/node/peer_bus.h
+++ b/src/node/peer_bus.h
@@ -39,9 +39,12 @@
     /** @return Whether the connection to an instance is open. */
     bool isLinked(const InstanceName &peer) const;
 
-    /** @return Time since an instance was heard on the connection to it; the longest if never. */
+    /** @return Time since an instance was heard, on the connection to it or on its own; the longest if never on the first. */
     Duration silence(const InstanceName &peer) const;
 
+    /** Note that an instance was heard on a connection that it opened. */
+    void noteHeard(const InstanceName &peer);
+
     /** Ping what is open, drop what is silent, and open what is missing. To be called every 100 ms or so. */
     void tick();
 
@@ -59,6 +62,7 @@
         bool isOpen = false; ///< Whether it is open.
         std::chrono::steady_clock::time_point dialedAt; ///< When it was opened last.
         std::chrono::steady_clock::time_point heardAt; ///< When the instance was heard last.
+        std::chrono::steady_clock::time_point signAt; ///< When it was heard last on the connection that it opened itself.
         std::chrono::steady_clock::time_point pingedAt; ///< When it was pinged last.
     };
 
@@ -69,6 +73,7 @@
     void onReceived(ConnectionHandle handle, std::string bytes);
     void onHeard(ConnectionHandle handle);
     void onClosed(ConnectionHandle handle);
+    std::chrono::steady_clock::duration pingInterval() const;
     void dropSilentAskers(std::chrono::steady_clock::time_point now);
     void drop(const InstanceName &name, Link &link, bool wasRefused);
     std::map<InstanceName, Link>::iterator findLink(ConnectionHandle handle);
--- a/src/node/tests/calls_test.cpp
+++ b/src/node/tests/calls_test.cpp
@@ -45,6 +45,22 @@
     BOOST_TEST((this->fleet.world.now - start - 500ms <= 500ms));
 }
 
+BOOST_FIXTURE_TEST_CASE(OnlyTheLeaderTellsTheOthersAllTheTime, ThreeNodes)
+{
+    // Load pattern: with hundreds of instances, what each tells each other four times a second takes all of their processor time.
+    this->fleet.world.pass(1s);
+    const std::size_t leader = *this->fleet.leader();
+    std::vector<std::size_t> before;
+    for (const WorldNode &node : this->fleet.nodes) {
+        before.push_back(node.sentMessages);
+    }
+    this->fleet.world.pass(10s);
+    for (std::size_t index = 0; index < 3; ++index) {
+        const std::size_t sent = this->fleet.nodes[index].sentMessages - before[index];
+        BOOST_TEST(sent <= (index == leader ? 2U * 42 : 2U * 6));
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(JobIsAnsweredThroughAnInstanceThatDoesNotLead, ThreeNodes)
 {
     BOOST_TEST(this->endsAs(this->fleet.submit(this->entry, Job, 3), JobState::Done));
--- a/src/node/tests/node_world.cpp
+++ b/src/node/tests/node_world.cpp
@@ -196,6 +196,7 @@
         if (!this->nodes[node].peers.contains(peer)) {
             return false;
         }
+        ++this->nodes[node].sentMessages;
         this->world.at(this->world.now + LinkDelay, [this, node, peer, bytes] {
             if (!this->nodes[peer].isDeaf) {
                 this->deliver(peer, [this, node, peer, bytes] { this->nodes[peer].handlers.asked(handleOf(node), bytes); });
@@ -214,6 +215,7 @@
         const WorldNode &peer = this->nodes[indexOf(name)];
         return peer.isFrozen || !peer.isUp ? this->world.now - peer.silentSince : Duration{};
     };
+    links.noteHeard = [](const InstanceName &) {};
     links.tick = [] {};
     return links;
 }
--- a/src/node/tests/node_world.h
+++ b/src/node/tests/node_world.h
@@ -17,6 +17,7 @@
     bool isFrozen = false; ///< Whether its process stands still.
     bool isDeaf = false; ///< Whether what others send it is lost, though its connections stay open.
     TimePoint silentSince; ///< Since when nobody has heard it; only if frozen or killed.
+    std::size_t sentMessages = 0; ///< Messages on links that it opened.
     std::set<std::size_t> peers; ///< Nodes that it has a link to.
     std::vector<std::function<void()>> held; ///< What came while it was frozen.
     std::map<CallId, SubmitAnswer> submitAnswers; ///< By call.
