--- a/src/cells/tests/leader_test.cpp
+++ b/src/cells/tests/leader_test.cpp
@@ -331,6 +331,19 @@
     BOOST_TEST(this->world.passUntil([this] { return this->world.leaders[0].hasEnded; }, 1s));
 }
 
+BOOST_FIXTURE_TEST_CASE(LeaderThatStoodStillGivesNoOrdersBeforeTheStoreConfirmsIt, OneLeader)
+{
+    this->world.storeFate = [] { return CallFate::Refused; };
+    this->world.leaders[0].isFrozen = true;
+    this->world.pass(1s);
+    this->world.thaw(0);
+    this->world.submit(this->leader, Job, 1, true);
+    this->world.pass(300ms);
+    BOOST_TEST(this->world.startCount == 0U);
+    this->world.storeFate = [] { return CallFate::Answered; };
+    BOOST_TEST(this->world.passUntil([this] { return this->world.startCount == 1; }, 1s));
+}
+
 BOOST_FIXTURE_TEST_CASE(WithdrawnJobThatStillWaitsIsNoLoad, OneLeader)
 {
     this->world.workTime = 10s;
