tanagertally timeline joins the logs of all instances into what happened to one job

What: the job's lines, changes of leader of its cells and losses of its endpoints in one order; a clock is said to be behind where a lead was known before it was taken. No server is called. Ruled out: sorting by an estimated common clock; the logs bound the skew from one side only. Before: grep and sort by hand.

--- a/src/cli/cli.cpp
+++ b/src/cli/cli.cpp
@@ -1,6 +1,7 @@
 #include "cli/cli.h"
 
 #include "cli/command_runner.h"
+#include "cli/timeline.h"
 
 namespace Tanagertally {
 
@@ -11,6 +12,9 @@
         return *code;
     }
     const CliOptions &options = std::get<CliOptions>(parsed);
+    if (const TimelineCommand *timeline = std::get_if<TimelineCommand>(&options.command)) {
+        return printTimeline(*timeline, terminal);
+    }
     Printer printer(terminal, options.output);
     const bool isOperator = std::holds_alternative<OperateCommand>(options.command);
     const Result<ServerAddress> server = parseServerAddress(isOperator ? options.operatorServer : options.server);
@@ -19,7 +23,15 @@
         return ExitCode::BadInput;
     }
     CommandRunner runner(options, server.value(), input, printer);
-    return std::visit([&](const auto &command) { return runner.run(command); }, options.command);
+    return std::visit(
+        [&](const auto &command) {
+            if constexpr (std::is_same_v<std::decay_t<decltype(command)>, TimelineCommand>) {
+                return ExitCode::BadInput; // Handled above: it calls no server.
+            } else {
+                return runner.run(command);
+            }
+        },
+        options.command);
 }
 
 } // namespace Tanagertally
--- a/src/cli/options.cpp
+++ b/src/cli/options.cpp
@@ -29,6 +29,7 @@
     KeysCommand keys; ///< Options of `keys`.
     OperateCommand ask; ///< Options of `ask`.
     OperateCommand command; ///< Options of `command`.
+    TimelineCommand timeline; ///< Options of `timeline`.
 };
 
 void addCommonOptions(CLI::App &app, RawOptions &raw)
@@ -76,6 +77,9 @@
     command->add_option("TEXT", raw.command.text, "The command")->required();
     command->add_flag("--dry-run", raw.command.dryRun, "Check only, without effect");
     raw.ask.isQuery = true;
+    CLI::App *timeline = app.add_subcommand("timeline", "Print what the logs of instances on the users' platform say of a job");
+    timeline->add_option("JOB", raw.timeline.job, "Name of the job")->required();
+    timeline->add_option("FILE", raw.timeline.files, "Logs, one file an instance")->required();
 }
 
 /** @return The command that was given. */
@@ -102,6 +106,9 @@
     if (app.got_subcommand("command")) {
         return raw.command;
     }
+    if (app.got_subcommand("timeline")) {
+        return raw.timeline;
+    }
     return StatusCommand();
 }
 
--- a/src/cli/options.h
+++ b/src/cli/options.h
@@ -10,6 +10,7 @@
 #include <span>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace Tanagertally {
 
@@ -49,8 +50,14 @@
 struct StatusCommand {
 };
 
+/** `timeline JOB FILE...`. */
+struct TimelineCommand {
+    std::string job; ///< Name of the job.
+    std::vector<std::string> files; ///< Logs of instances.
+};
+
 /** Any command. */
-using Command = std::variant<SubmitCommand, FetchCommand, CancelCommand, KeysCommand, OperateCommand, StatusCommand>;
+using Command = std::variant<SubmitCommand, FetchCommand, CancelCommand, KeysCommand, OperateCommand, StatusCommand, TimelineCommand>;
 
 /** How results are printed. */
 enum class OutputFormat : std::uint8_t {
--- /dev/null
+++ b/src/cli/timeline.cpp
@@ -0,0 +1,193 @@
+#include "cli/timeline.h"
+
+#include <algorithm>
+#include <array>
+#include <ctime>
+#include <filesystem>
+#include <fstream>
+#include <iomanip>
+#include <map>
+#include <set>
+#include <sstream>
+
+namespace Tanagertally {
+
+namespace {
+
+using Microseconds = std::chrono::microseconds;
+
+constexpr Microseconds Around = std::chrono::seconds(1); // Before and after the job's own lines.
+constexpr std::array<std::string_view, 4> LeadEvents = {"lead-vacant", "lead-claim", "lead-taken", "lead-ended"};
+
+/** One line of a log. */
+struct LogLine {
+    Microseconds time{}; ///< Since the epoch, by its instance's clock.
+    std::string source; ///< Name of the file, without folder and ending.
+    std::map<std::string, std::string, std::less<>> fields; ///< Its pairs.
+    std::string text; ///< The line without its time.
+
+    std::string_view field(std::string_view name) const
+    {
+        const auto found = this->fields.find(name);
+        return found == this->fields.end() ? std::string_view() : std::string_view(found->second);
+    }
+};
+
+/** @return The time of a text like 2026-12-04T01:35:45.855769Z, or nothing. */
+std::optional<Microseconds> parseTime(const std::string &text)
+{
+    std::tm parts{};
+    std::istringstream stream(text);
+    stream >> std::get_time(&parts, "%Y-%m-%dT%H:%M:%S");
+    double fraction = 0;
+    if (!stream || (stream.peek() == '.' && !(stream >> fraction))) {
+        return std::nullopt;
+    }
+    const auto seconds = std::chrono::seconds(timegm(&parts));
+    return seconds + std::chrono::duration_cast<Microseconds>(std::chrono::duration<double>(fraction));
+}
+
+/** @return The key=value pairs of a line; a value may be quoted. */
+std::map<std::string, std::string, std::less<>> parsePairs(std::string_view line)
+{
+    std::map<std::string, std::string, std::less<>> pairs;
+    while (!line.empty()) {
+        const std::size_t equals = line.find('=');
+        if (equals == std::string_view::npos) {
+            break;
+        }
+        const std::size_t blank = line.substr(0, equals).rfind(' ');
+        const std::string key(
+            line.substr(blank == std::string_view::npos ? 0 : blank + 1, equals - (blank == std::string_view::npos ? 0 : blank + 1)));
+        line.remove_prefix(equals + 1);
+        const bool isQuoted = line.starts_with('"');
+        line.remove_prefix(isQuoted ? 1 : 0);
+        const std::size_t end = std::min(line.find(isQuoted ? '"' : ' '), line.size());
+        pairs[key] = std::string(line.substr(0, end));
+        line.remove_prefix(std::min(line.size(), end + 1));
+    }
+    return pairs;
+}
+
+/** Call a function with each line of a log that has a time and an event. @return Whether the file can be read. */
+template<typename Use>
+bool forEachLine(const std::string &path, Use use)
+{
+    std::ifstream file(path);
+    const std::string source = std::filesystem::path(path).stem().string();
+    for (std::string line; std::getline(file, line);) {
+        LogLine parsed;
+        parsed.fields = parsePairs(line);
+        const std::optional<Microseconds> time = parseTime(std::string(parsed.field("ts")));
+        if (time && !parsed.field("event").empty()) {
+            parsed.time = *time;
+            parsed.source = source;
+            parsed.text = line.substr(line.find("event="));
+            use(parsed);
+        }
+    }
+    return !file.bad() && file.eof();
+}
+
+/** What the job's own lines name. */
+struct Names {
+    std::set<std::string, std::less<>> cells; ///< Cells.
+    std::set<std::string, std::less<>> endpoints; ///< Endpoints.
+    Microseconds first = Microseconds::max(); ///< Time of the first line.
+    Microseconds last = Microseconds::min(); ///< Time of the last line.
+};
+
+bool isAbout(const Names &names, const LogLine &line)
+{
+    if (line.time < names.first - Around || line.time > names.last + Around) {
+        return false;
+    }
+    const bool isLead = std::ranges::find(LeadEvents, line.field("event")) != LeadEvents.end() && names.cells.contains(line.field("cell"));
+    return isLead || (line.field("event") == "endpoint-lost" && names.endpoints.contains(line.field("endpoint")));
+}
+
+/** Finds clocks that are behind: a lead can't be known before it is taken. */
+class SkewFinder
+{
+public:
+    void add(const LogLine &line)
+    {
+        const std::string lead = std::string(line.field("cell")) + " " + std::string(line.field("token"));
+        if (line.field("event") == "lead-taken") {
+            this->taken.insert_or_assign(lead, std::pair(line.source, line.time));
+        } else if (line.field("event") == "lead-known") {
+            this->known[lead].emplace_back(line.source, line.time);
+        }
+    }
+
+    void print(std::ostream &out) const
+    {
+        std::map<std::pair<std::string, std::string>, Microseconds> behind;
+        for (const auto &[lead, by] : this->taken) {
+            const auto heard = this->known.find(lead);
+            for (const auto &[source, time] : heard == this->known.end() ? Known() : heard->second) {
+                Microseconds &most = behind[{source, by.first}];
+                most = std::max(most, by.second - time);
+            }
+        }
+        for (const auto &[sources, skew] : behind) {
+            if (skew > Microseconds{}) {
+                out << "note: the clock of " << sources.first << " is at least " << skew.count() / 1000 << " ms behind that of "
+                    << sources.second << '\n';
+            }
+        }
+    }
+
+private:
+    using Known = std::vector<std::pair<std::string, Microseconds>>; ///< Who heard of a lead, and when.
+
+    std::map<std::string, std::pair<std::string, Microseconds>> taken; ///< By cell and token.
+    std::map<std::string, Known> known; ///< By cell and token.
+};
+
+} // namespace
+
+ExitCode printTimeline(const TimelineCommand &command, Terminal terminal)
+{
+    Names names;
+    std::vector<LogLine> lines;
+    SkewFinder skew;
+    for (const std::string &file : command.files) {
+        const bool isRead = forEachLine(file, [&](const LogLine &line) {
+            skew.add(line);
+            if (line.field("job") != command.job) {
+                return;
+            }
+            names.cells.emplace(line.field("cell"));
+            names.endpoints.emplace(line.field("endpoint"));
+            names.first = std::min(names.first, line.time);
+            names.last = std::max(names.last, line.time);
+            lines.push_back(line);
+        });
+        if (!isRead) {
+            terminal.err << "error: can't read " << file << '\n';
+            return ExitCode::BadInput;
+        }
+    }
+    if (lines.empty()) {
+        terminal.err << "error: no line of these logs names the job " << command.job << '\n';
+        return ExitCode::BadInput;
+    }
+    for (const std::string &file : command.files) {
+        forEachLine(file, [&](const LogLine &line) {
+            if (line.field("job") != command.job && isAbout(names, line)) {
+                lines.push_back(line);
+            }
+        });
+    }
+    std::ranges::stable_sort(lines, {}, &LogLine::time);
+    skew.print(terminal.out);
+    for (const LogLine &line : lines) {
+        const double sinceFirst = std::chrono::duration<double>(line.time - names.first).count();
+        terminal.out << std::fixed << std::setprecision(6) << std::setw(12) << sinceFirst << "  " << line.source << "  " << line.text
+                     << '\n';
+    }
+    return ExitCode::Done;
+}
+
+} // namespace Tanagertally
