--- a/src/cli/timeline.cpp
+++ b/src/cli/timeline.cpp
@@ -115,7 +115,7 @@
         const std::string lead = std::string(line.field("cell")) + " " + std::string(line.field("token"));
         if (line.field("event") == "lead-taken") {
             this->taken.insert_or_assign(lead, std::pair(line.source, line.time));
-        } else if (line.field("event") == "lead-known") {
+        } else if (line.field("event") == "lead-known" && line.field("by") != "store") { // The store knows before the leader hears of it.
             this->known[lead].emplace_back(line.source, line.time);
         }
     }
