Tests of peer links listen at free ports

Cause: peer_bus_test used two fixed ports, which another test of a parallel run may be given. Before: 23451 and 23452.

--- a/src/node/tests/peer_bus_test.cpp
+++ b/src/node/tests/peer_bus_test.cpp
@@ -1,5 +1,6 @@
 // Links between two real transports on loopback.
 #include "node/peer_bus.h"
+#include "process_tools.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -9,6 +10,11 @@
 
 namespace {
 
+NetAddress freeAddress()
+{
+    return NetAddress("127.0.0.1:" + std::to_string(ProcessTests::freePort()));
+}
+
 /** A bus that notes what it hears. */
 struct Side {
     boost::asio::io_context &io;
@@ -20,9 +26,9 @@
     std::size_t askersLost = 0;
     std::unique_ptr<PeerBus> bus;
 
-    Side(boost::asio::io_context &context, const std::string &name, std::uint16_t port)
+    Side(boost::asio::io_context &context, const std::string &name)
         : io(context)
-        , record{InstanceName(name), Incarnation(1), NetAddress("127.0.0.1:" + std::to_string(port)), FailureDomain("d"), 1, false}
+        , record{InstanceName(name), Incarnation(1), freeAddress(), FailureDomain("d"), 1, false}
     {
         NodeLinkHandlers handlers;
         handlers.linked = [this](const InstanceName &) { ++this->linked; };
@@ -44,8 +50,8 @@
 
 struct TwoSides {
     boost::asio::io_context io{1};
-    Side left{this->io, "left", 23451};
-    Side right{this->io, "right", 23452};
+    Side left{this->io, "left"};
+    Side right{this->io, "right"};
 
     bool runUntil(const std::function<bool()> &holds, std::chrono::milliseconds limit = 3s)
     {
@@ -94,7 +100,7 @@
 BOOST_FIXTURE_TEST_CASE(LinkToAnAddressThatIsNoLongerUsedCountsAsLost, TwoSides)
 {
     this->link();
-    this->right.record.peerAddress = NetAddress("127.0.0.1:23453");
+    this->right.record.peerAddress = freeAddress();
     this->left.bus->links().setPeers(std::vector<InstanceRecord>{this->right.record});
     BOOST_TEST(this->left.lost == 1U);
     this->left.bus->links().setPeers({});
