The node's source is four files: calls, leaders that run here, who leads, the other instances

What: moved without change; Overloaded has a header of its own; the time for which the registry is wanted is set in one place; times of the start that were multiples of another constant are named. Conclusion: no decision changed.

--- a/src/node/node.h
+++ b/src/node/node.h
@@ -143,7 +143,8 @@
     void failCallsTo(const InstanceName &instance);
     void noteCellOf(const JobId &id, const CellName &cell);
 
-    // node_cells.cpp: cells that this instance leads, and peers.
+    // node_cells.cpp: leaders that run here.
+    void wantEndpoints(TimePoint now);
     void runActions(const CellName &cell);
     void runAction(const CellName &cell, std::uint64_t generation, CellAction &&action);
     void readCell(const CellName &cell, std::uint64_t generation, std::shared_ptr<CellContent> content, std::size_t table,
@@ -151,6 +152,8 @@
     std::vector<EndpointRecord> endpointsOf(const CellName &cell) const;
     template<typename Use>
     void withLeader(const CellName &cell, std::uint64_t generation, Use use);
+
+    // node_leads.cpp: who leads.
     void planLeads(TimePoint now);
     void claim(const CellName &cell);
     bool mayReplace(const CellName &cell, const LeadRecord &lead) const;
@@ -158,6 +161,10 @@
     void returnLeads(TimePoint now);
     void advertise(TimePoint now);
     void noteAdvert(const InstanceName &from, const CellAdvert &advert);
+    bool isMemberAlive(const Member &member) const;
+    std::vector<LeadCandidate> candidates() const;
+
+    // node_peers.cpp: the other instances.
     void heartbeat(TimePoint now);
     void readMembers();
     void onMembersRead(const ReadResult &result);
@@ -168,8 +175,8 @@
     void onAskerLost(LinkHandle connection);
     void onSubmitReplied(const InstanceName &peer, LinkSubmitReply &reply);
     void onPeerLost(const InstanceName &peer, bool wasRefused);
-    bool isMemberAlive(const Member &member) const;
-    std::vector<LeadCandidate> candidates() const;
+
+    // node.cpp
     void log(std::string event, std::vector<std::pair<std::string, std::string>> fields, bool isWarning = false) const;
     void callLater(Duration delay, std::function<void()> task);
 
--- /dev/null
+++ b/src/node/node_peers.cpp
@@ -0,0 +1,272 @@
+// The part of a node that knows the other instances and talks with them.
+#include "node/node.h"
+#include "node/overloaded_func.h"
+
+#include <algorithm>
+
+namespace Tanagertally::Cells {
+
+namespace {
+
+constexpr Duration HeartbeatInterval = std::chrono::seconds(1); // LeadershipLimits::rowSilence allows for two that are missed.
+constexpr Duration StartTime = std::chrono::milliseconds(1400); // While instances register; twice the settling time of foreign cells.
+constexpr Duration StartReadInterval = std::chrono::milliseconds(350); // Of the instances' rows meanwhile.
+constexpr Duration MemberForgetting = std::chrono::seconds(30); // An instance whose row hasn't changed for so long gets no link.
+
+} // namespace
+
+void Node::connect(NodeLinks peerLinks)
+{
+    this->links = std::move(peerLinks);
+}
+
+std::string Node::helloOf(const InstanceRecord &self)
+{
+    return encodeLinkMessage(LinkHello{self.name, self.incarnation});
+}
+
+NodeLinkHandlers Node::linkHandlers()
+{
+    NodeLinkHandlers handlers;
+    handlers.linked = [this](const InstanceName &peer) {
+        this->log("peer-linked", {{"peer", peer.value}});
+        this->isAdvertDue = true;
+    };
+    handlers.lost = [this](const InstanceName &peer, bool wasRefused) { this->onPeerLost(peer, wasRefused); };
+    handlers.replied = [this](const InstanceName &peer, const std::string &bytes) { this->onReplied(peer, bytes); };
+    handlers.asked = [this](LinkHandle connection, const std::string &bytes) { this->onAsked(connection, bytes); };
+    handlers.askerLost = [this](LinkHandle connection) { this->onAskerLost(connection); };
+    return handlers;
+}
+
+void Node::heartbeat(TimePoint now)
+{
+    if (!this->isHeartbeatInFlight && now >= this->nextHeartbeatAt) {
+        this->nextHeartbeatAt = now + HeartbeatInterval;
+        this->isHeartbeatInFlight = true;
+        InstanceRecord self = this->options.self;
+        self.isLeaving = this->isLeaving;
+        StoreTransaction transaction;
+        transaction.writes.push_back({instanceKey(self.name), encodeInstance(self)});
+        this->ports.commit(std::move(transaction), [this](const TransactionResult &result) {
+            this->isHeartbeatInFlight = false;
+            if (result.end != TransactionEnd::Applied) {
+                this->log("heartbeat-failed", {{"error", result.error}}, true);
+            }
+        });
+    }
+    if (!this->isMemberReadInFlight && now >= this->nextMemberReadAt) {
+        this->readMembers();
+    }
+}
+
+void Node::readMembers()
+{
+    this->isMemberReadInFlight = true;
+    const bool isStarting = this->ports.now() < this->startedAt + StartTime;
+    this->nextMemberReadAt = this->ports.now() + (isStarting ? StartReadInterval : HeartbeatInterval);
+    this->ports.read({std::string(InstancesTable), "", "", 0}, [this](const ReadResult &result) {
+        this->isMemberReadInFlight = false;
+        if (!result.isAnswered) {
+            this->log("members-read-failed", {{"error", result.error}}, true);
+            this->storeGoodSince = TimePoint::max();
+            return;
+        }
+        this->onMembersRead(result);
+    });
+}
+
+void Node::onMembersRead(const ReadResult &result)
+{
+    const TimePoint now = this->ports.now();
+    this->membersReadAt = now;
+    this->storeGoodSince = std::min(this->storeGoodSince, now);
+    for (const Row &row : result.rows) {
+        Result<InstanceRecord> record = decodeInstance(row.value);
+        if (record.has_error() || record.value().name == this->options.self.name) {
+            continue;
+        }
+        const InstanceName name = record.value().name;
+        const auto [found, isNew] = this->members.try_emplace(name);
+        Member &member = found->second;
+        if (isNew || member.record.incarnation != record.value().incarnation) {
+            this->log("member",
+                      {{"instance", name.value}, {"domain", record.value().domain.value}, {"address", record.value().peerAddress.value}});
+            member.isLeaving = false;
+        }
+        if (isNew || member.version != row.version) {
+            member.changedAt = now;
+            member.version = row.version;
+        }
+        member.isLeaving = member.isLeaving || record.value().isLeaving;
+        member.record = std::move(record).value();
+    }
+    std::vector<InstanceRecord> linked;
+    for (const auto &[name, member] : this->members) {
+        if (now - member.changedAt < MemberForgetting) {
+            linked.push_back(member.record);
+        }
+    }
+    this->links.setPeers(linked);
+}
+
+void Node::onAsked(LinkHandle connection, std::string_view bytes)
+{
+    Result<LinkMessage> message = decodeLinkMessage(bytes);
+    if (message.has_error()) {
+        this->log("link-message-unreadable", {{"error", message.error().message}}, true);
+        return;
+    }
+    std::visit(Overloaded{
+                   [&](LinkHello &hello) { this->askers[connection] = hello.name; },
+                   [&](LinkAdvert &advert) {
+                       const auto asker = this->askers.find(connection);
+                       if (asker == this->askers.end()) {
+                           return;
+                       }
+                       const InstanceName from = asker->second;
+                       this->links.noteHeard(from);
+                       if (advert.configVersion > this->fleetConfig.version) {
+                           this->ports.rereadConfig();
+                       }
+                       if (const auto member = this->members.find(from); member != this->members.end()) {
+                           member->second.isLeaving = advert.isLeaving;
+                       }
+                       for (const CellAdvert &cell : advert.cells) {
+                           this->noteAdvert(from, cell);
+                       }
+                       for (auto &[name, view] : this->cells) {
+                           if (view.leader == from && std::ranges::find(advert.cells, name, &CellAdvert::cell) == advert.cells.end()) {
+                               view.isGone = true;
+                           }
+                       }
+                   },
+                   [&](LinkSubmit &submit) { this->onSubmitAsked(connection, submit); },
+                   [&](LinkJobAsk &ask) {
+                       const auto own = this->led.find(ask.cell);
+                       JobAnswer answer;
+                       if (own != this->led.end() && ask.question == JobQuestion::Cancel) {
+                           const CallId call(++this->lastCall);
+                           PendingCall &pending = this->calls[call];
+                           pending.kind = PendingCall::Kind::RemoteQuestion;
+                           pending.origin = ask.call;
+                           pending.connection = connection;
+                           own->second.leader->cancel(this->ports.now(), call, ask.id);
+                           this->runActions(ask.cell);
+                           return;
+                       }
+                       if (own != this->led.end()) {
+                           answer = own->second.leader->query(ask.id);
+                       }
+                       this->links.reply(connection, encodeLinkMessage(LinkJobReply{ask.call, answer}));
+                   },
+                   [&](LinkWithdraw &withdraw) {
+                       const auto found = std::ranges::find_if(this->calls, [&](const auto &entry) {
+                           return entry.second.connection == connection && entry.second.origin == withdraw.call;
+                       });
+                       if (found != this->calls.end()) {
+                           this->withdrawCall(found->first);
+                       }
+                   },
+                   [&](LinkSubmitReply &) {},
+                   [&](LinkJobReply &) {},
+               },
+               message.value());
+}
+
+void Node::onSubmitAsked(LinkHandle connection, LinkSubmit &submit)
+{
+    const auto own = this->led.find(submit.cell);
+    if (own == this->led.end()) {
+        this->links.reply(connection,
+                          encodeLinkMessage(LinkSubmitReply{submit.call, {SubmitVerdict::Refused, std::string(NotLeadingReason), {}, {}}}));
+        return;
+    }
+    const auto asker = this->askers.find(connection);
+    const InstanceName name = asker == this->askers.end() ? InstanceName() : asker->second;
+    // The instance offers a call again whose former connection it lost: only the new one is answered.
+    std::erase_if(this->calls, [&](const auto &entry) {
+        const PendingCall &known = entry.second;
+        return known.kind == PendingCall::Kind::RemoteSubmission && known.origin == submit.call && known.asker == name
+               && known.id == submit.id;
+    });
+    const CallId call(++this->lastCall);
+    PendingCall &pending = this->calls[call];
+    pending.kind = PendingCall::Kind::RemoteSubmission;
+    pending.origin = submit.call;
+    pending.connection = connection;
+    pending.asker = name;
+    pending.id = submit.id;
+    pending.cell = submit.cell;
+    own->second.leader->submit(this->ports.now(), call, std::move(submit.id), std::move(submit.spec), std::move(submit.terms),
+                               submit.wasOffered);
+    this->runActions(submit.cell);
+}
+
+void Node::withdrawCall(CallId call)
+{
+    const CellName cell = this->calls.at(call).cell;
+    this->calls.erase(call);
+    if (const auto own = this->led.find(cell); own != this->led.end()) {
+        own->second.leader->withdraw(this->ports.now(), call);
+        this->runActions(cell);
+    }
+}
+
+void Node::onAskerLost(LinkHandle connection)
+{
+    this->askers.erase(connection);
+    // Whoever asked has told its callers that the outcome is unknown, and they hand their jobs in again.
+    std::vector<CallId> orphaned;
+    for (const auto &[call, pending] : this->calls) {
+        if (pending.connection == connection && pending.kind == PendingCall::Kind::RemoteSubmission) {
+            orphaned.push_back(call);
+        }
+    }
+    for (const CallId call : orphaned) {
+        this->withdrawCall(call);
+    }
+}
+
+void Node::onReplied(const InstanceName &peer, std::string_view bytes)
+{
+    Result<LinkMessage> message = decodeLinkMessage(bytes);
+    if (message.has_error()) {
+        this->log("link-message-unreadable", {{"peer", peer.value}, {"error", message.error().message}}, true);
+        return;
+    }
+    if (LinkSubmitReply *submit = std::get_if<LinkSubmitReply>(&message.value())) {
+        this->onSubmitReplied(peer, *submit);
+    } else if (const LinkJobReply *job = std::get_if<LinkJobReply>(&message.value())) {
+        this->onJobAnswer(job->call, job->answer);
+    }
+}
+
+void Node::onSubmitReplied(const InstanceName &peer, LinkSubmitReply &reply)
+{
+    const auto found = this->calls.find(reply.call);
+    const bool isFromFormerLeader = found != this->calls.end() && found->second.isAsking && found->second.leader != peer;
+    if (isFromFormerLeader && reply.answer.verdict != SubmitVerdict::Ended) {
+        return; // Another leader has been offered the job since.
+    }
+    if (isFromFormerLeader) {
+        this->withdraw(reply.call, found->second);
+    }
+    this->onSubmitAnswer(reply.call, std::move(reply.answer));
+}
+
+void Node::onPeerLost(const InstanceName &peer, bool wasRefused)
+{
+    this->log("peer-lost", {{"peer", peer.value}, {"refused", wasRefused ? "yes" : "no"}});
+    this->failCallsTo(peer);
+    const auto member = this->members.find(peer);
+    const bool isInDomain = member != this->members.end() && member->second.record.domain == this->options.self.domain;
+    if (!wasRefused || !isInDomain) {
+        return;
+    }
+    for (auto &[name, view] : this->cells) {
+        view.isGone = view.isGone || view.leader == peer;
+    }
+}
+
+} // namespace Tanagertally::Cells
