A leader gives its lead to a much stronger free instance of its domain

What: one rule, shouldGiveWay, for the return of a lead to its domain and for this; the second only after 5 s of leading, to a linked instance with at least twice the share that leads nothing. Also: CellAdvert no longer says that the leader takes jobs, which was always so. Ruled out: a vacancy that waits longer for the strong ones, which would leave the cell without a leader in a partition. Before: StrongInstanceGetsTheLeadBackAfterItWasAway fails.

--- a/src/node/cell_directory.h
+++ b/src/node/cell_directory.h
@@ -12,10 +12,9 @@
 struct CellView {
     InstanceName leader; ///< Who says that it leads with the highest token; empty if nobody does.
     FenceToken token; ///< That token.
-    bool takesJobs = false; ///< Whether the leader takes submissions.
     bool isGone = false; ///< Whether the leader gave up the lead, or its process has ended.
     Duration storeSilence{}; ///< Time since the store confirmed the lead, as the leader said.
-    CellLoad load; ///< How busy the cell is, as the leader said.
+    CellLoad load; ///< How busy the cell is, as the leader said; no capacity until it has.
     double sentWork = 0; ///< Core-milliseconds that this instance has sent there since the leader said so.
     TimePoint vacantSince; ///< Since when the cell has needed a leader.
     bool isVacant = true; ///< Whether it needs one.
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -33,6 +33,18 @@
     return order;
 }
 
+bool shouldGiveWay(const LeadCandidate &self, const FailureDomain &domain, std::span<const LeadCandidate> candidates, Duration ledFor,
+                   const LeadershipLimits &limits)
+{
+    return std::ranges::any_of(candidates, [&](const LeadCandidate &other) {
+        if (other.domain != domain || other.name == self.name) {
+            return false;
+        }
+        const bool isMuchStronger = other.ledCells == 0 && other.coreShare >= limits.muchStronger * self.coreShare;
+        return self.domain != domain || (isMuchStronger && ledFor >= limits.leastLead);
+    });
+}
+
 bool isOwnTurn(const InstanceName &self, const CellName &cell, const FailureDomain &domain, std::span<const LeadCandidate> candidates,
                Duration vacantFor, const LeadershipLimits &limits)
 {
--- a/src/node/leadership.h
+++ b/src/node/leadership.h
@@ -33,6 +33,8 @@
     Duration rowSilence = std::chrono::milliseconds(2600); ///< Two missed heartbeats of 1 s and a slow answer.
     Duration storeSilence = std::chrono::milliseconds(2500); ///< It renews every 2 s, in the absence of other transactions.
     Duration turn = std::chrono::milliseconds(700); ///< A candidate that doesn't act leaves the turn to the next one.
+    Duration leastLead = std::chrono::seconds(5); ///< Before it is given to a stronger instance; most partitions are over by then.
+    double muchStronger = 2; ///< Share of a core, against the leader's, that is worth a change of leader.
 };
 
 /**
@@ -58,4 +60,15 @@
 bool isOwnTurn(const InstanceName &self, const CellName &cell, const FailureDomain &domain, std::span<const LeadCandidate> candidates,
                Duration vacantFor, const LeadershipLimits &limits);
 
+/**
+ * Tell whether a leader should give its lead to a candidate: to any of the cell's domain if it is of another one, else to a much stronger
+ * one of the domain that leads nothing.
+ * @param self The leader.
+ * @param candidates Instances that could lead.
+ * @param ledFor Time for which it has led.
+ * Thread safety: any thread.
+ */
+bool shouldGiveWay(const LeadCandidate &self, const FailureDomain &domain, std::span<const LeadCandidate> candidates, Duration ledFor,
+                   const LeadershipLimits &limits);
+
 } // namespace Tanagertally::Cells
--- a/src/node/link_message.cpp
+++ b/src/node/link_message.cpp
@@ -29,8 +29,8 @@
     for (const auto &[queue, count] : advert.load.pendingJobs) {
         pending.push_back({queue.value, count});
     }
-    return Json::array({advert.cell.value, advert.token.value, advert.takesJobs, toMs(advert.storeSilence), advert.load.capacityCpu,
-                        advert.load.freeCpu, advert.load.waitingWork, std::move(pending), advert.load.labels});
+    return Json::array({advert.cell.value, advert.token.value, toMs(advert.storeSilence), advert.load.capacityCpu, advert.load.freeCpu,
+                        advert.load.waitingWork, std::move(pending), advert.load.labels});
 }
 
 Json toJson(const LinkAdvert &message)
@@ -75,15 +75,14 @@
     CellAdvert advert;
     advert.cell = CellName(json.at(0).get<std::string>());
     advert.token = FenceToken(json.at(1).get<std::uint64_t>());
-    advert.takesJobs = json.at(2).get<bool>();
-    advert.storeSilence = toDuration(json.at(3));
-    advert.load.capacityCpu = json.at(4).get<std::int64_t>();
-    advert.load.freeCpu = json.at(5).get<std::int64_t>();
-    advert.load.waitingWork = json.at(6).get<double>();
-    for (const Json &entry : json.at(7)) {
+    advert.storeSilence = toDuration(json.at(2));
+    advert.load.capacityCpu = json.at(3).get<std::int64_t>();
+    advert.load.freeCpu = json.at(4).get<std::int64_t>();
+    advert.load.waitingWork = json.at(5).get<double>();
+    for (const Json &entry : json.at(6)) {
         advert.load.pendingJobs.emplace(QueueName(entry.at(0).get<std::string>()), entry.at(1).get<std::uint64_t>());
     }
-    advert.load.labels = json.at(8).get<std::vector<std::string>>();
+    advert.load.labels = json.at(7).get<std::vector<std::string>>();
     return advert;
 }
 
--- a/src/node/link_message.h
+++ b/src/node/link_message.h
@@ -18,7 +18,6 @@
 struct CellAdvert {
     CellName cell; ///< The cell.
     FenceToken token; ///< Its fencing token: of two that say they lead, the higher one does.
-    bool takesJobs = false; ///< Whether it takes submissions.
     Duration storeSilence{}; ///< Time since the store confirmed the lead.
     CellLoad load; ///< How busy it is.
 };
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -142,7 +142,7 @@
         this->runActions(cell);
         return;
     }
-    const bool isSent = !view.leader.empty() && !view.isGone && view.takesJobs && view.leader != this->options.self.name
+    const bool isSent = !view.leader.empty() && !view.isGone && view.leader != this->options.self.name
                         && this->links.send(view.leader, encodeLinkMessage(LinkSubmit{call, pending.cell, pending.id, spec, terms, true}));
     if (!isSent) {
         pending.retryAt = this->ports.now() + MovedRetry;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -126,6 +126,7 @@
     struct LedCell {
         std::unique_ptr<CellLeader> leader; ///< Its leader.
         bool isKnown = false; ///< Whether the others were told that it leads.
+        TimePoint claimedAt; ///< When it began to take the lead.
         std::uint64_t generation = 0; ///< Tells answers for an earlier leader of the same cell apart.
     };
 
@@ -158,7 +159,7 @@
     void claim(const CellName &cell);
     bool mayReplace(const CellName &cell, const LeadRecord &lead) const;
     void noteLeaderInStore(const CellName &cell, const LeadEnded &lead);
-    void returnLeads(TimePoint now);
+    void giveWay(TimePoint now, std::span<const LeadCandidate> able);
     void advertise(TimePoint now);
     void noteAdvert(const InstanceName &from, const CellAdvert &advert);
     bool isMemberAlive(const Member &member) const;
--- a/src/node/node_cells.cpp
+++ b/src/node/node_cells.cpp
@@ -136,7 +136,6 @@
                 view.isVacant = false; // A vacancy of before the lead says nothing of now: others have their turn first.
                 if (view.leader == this->options.self.name) {
                     view.leader = InstanceName();
-                    view.takesJobs = false;
                 }
                 if (!ending.leader.empty()) {
                     this->noteLeaderInStore(cell, ending);
--- a/src/node/node_leads.cpp
+++ b/src/node/node_leads.cpp
@@ -2,6 +2,7 @@
 #include "node/node.h"
 
 #include <algorithm>
+#include <cassert>
 
 namespace Tanagertally::Cells {
 
@@ -58,13 +59,14 @@
             this->claim(cell);
         }
     }
-    this->returnLeads(now);
+    this->giveWay(now, able);
 }
 
 void Node::claim(const CellName &cell)
 {
     LedCell &entry = this->led[cell];
     entry.generation = ++this->lastGeneration;
+    entry.claimedAt = this->ports.now();
     CellLeaderOptions leaderOptions{cell, this->options.self.name, this->options.self.incarnation, this->options.lease};
     leaderOptions.mayReplace = [this, cell](const LeadRecord &lead) { return this->mayReplace(cell, lead); };
     entry.leader = std::make_unique<CellLeader>(std::move(leaderOptions), this->ports.now());
@@ -92,22 +94,18 @@
     view.leader = lead.leader;
     view.token = lead.token;
     view.isGone = false;
-    view.takesJobs = false; // Until it says so itself.
     view.storeSilence = Duration{};
     view.load = CellLoad();
 }
 
-void Node::returnLeads(TimePoint now)
+void Node::giveWay(TimePoint now, std::span<const LeadCandidate> able)
 {
+    const auto self = std::ranges::find(able, this->options.self.name, &LeadCandidate::name);
+    assert(self != able.end());
     for (auto &[cell, entry] : this->led) {
-        if (this->options.self.domain.value == cell.value || !entry.leader->isLeading() || entry.leader->isReleasing()) {
-            continue;
-        }
-        const bool hasLocal = std::ranges::any_of(this->members, [&, name = cell](const auto &member) {
-            return member.second.record.domain.value == name.value && this->isMemberAlive(member.second)
-                   && this->links.isLinked(member.first);
-        });
-        if (hasLocal) {
+        const bool isFirm = entry.leader->isLeading() && !entry.leader->isReleasing();
+        if (isFirm && shouldGiveWay(*self, FailureDomain(cell.value), able, now - entry.claimedAt, this->limits)) {
+            this->log("lead-given-up", {{"cell", cell.value}, {"core_share", std::to_string(self->coreShare)}});
             entry.leader->release(now);
         }
     }
@@ -125,7 +123,7 @@
         if (!entry.leader->isLeading()) {
             continue;
         }
-        CellAdvert advert{cell, entry.leader->token(), true, entry.leader->storeSilence(now), entry.leader->load()};
+        CellAdvert advert{cell, entry.leader->token(), entry.leader->storeSilence(now), entry.leader->load()};
         this->noteAdvert(this->options.self.name, advert);
         message.cells.push_back(std::move(advert));
     }
@@ -153,7 +151,6 @@
     }
     view.leader = from;
     view.token = advert.token;
-    view.takesJobs = advert.takesJobs;
     view.isGone = false;
     view.storeSilence = advert.storeSilence;
     view.load = advert.load;
--- a/src/node/tests/calls_test.cpp
+++ b/src/node/tests/calls_test.cpp
@@ -216,6 +216,21 @@
     BOOST_TEST(fleet.tokenOf(cell).value <= former.value + 2);
 }
 
+BOOST_AUTO_TEST_CASE(StrongInstanceGetsTheLeadBackAfterItWasAway)
+{
+    NodeWorld fleet(3, 2, false, false, 1);
+    BOOST_TEST(fleet.leader().value_or(9) == 0U);
+    fleet.freeze(0);
+    BOOST_TEST(fleet.world.passUntil([&] { return fleet.leader().has_value(); }, 3s));
+    fleet.thaw(0);
+    fleet.world.pass(2s);
+    BOOST_TEST(fleet.leader().value_or(0) != 0U); // A short absence is not worth two changes.
+    BOOST_TEST(fleet.world.passUntil([&] { return fleet.nodes[0].node->leadsCells(); }, 8s));
+    const FenceToken token = fleet.tokenOf(fleet.cell);
+    fleet.world.pass(8s);
+    BOOST_TEST(fleet.tokenOf(fleet.cell).value <= token.value + 1);
+}
+
 BOOST_AUTO_TEST_CASE(InstanceThatHearsNobodyLeavesTheLeadToWhoeverTheStoreNames)
 {
     NodeWorld fleet(3, 3, true, true);
--- a/src/node/tests/leadership_test.cpp
+++ b/src/node/tests/leadership_test.cpp
@@ -20,7 +20,6 @@
 {
     CellView view;
     view.leader = InstanceName("leader");
-    view.takesJobs = true;
     view.load.capacityCpu = 100000;
     view.load.freeCpu = freeCpu;
     view.load.waitingWork = waitingWork;
@@ -60,6 +59,27 @@
     BOOST_TEST(!isOwnTurn(InstanceName("far"), cell, FailureDomain("a"), candidates, Limits.turn, Limits));
 }
 
+BOOST_AUTO_TEST_CASE(LeaderGivesWayToItsDomainAndAfterAWhileToAMuchStrongerInstanceThatIsFree)
+{
+    const FailureDomain domain("a");
+    const LeadCandidate weak{InstanceName("weak"), domain, 0.12, 1};
+    const LeadCandidate alike{InstanceName("alike"), domain, 0.2, 0};
+    const LeadCandidate strong{InstanceName("strong"), domain, 0.5, 0};
+    const LeadCandidate busy{InstanceName("busy"), domain, 0.5, 1};
+    const LeadCandidate far{InstanceName("far"), FailureDomain("b"), 1, 1};
+    const auto givesWay = [&](const LeadCandidate &leader, const LeadCandidate &other, Duration ledFor) {
+        const std::vector<LeadCandidate> candidates = {leader, other};
+        return shouldGiveWay(leader, domain, candidates, ledFor, Limits);
+    };
+    BOOST_TEST(givesWay(far, weak, 0s));
+    BOOST_TEST(!givesWay(weak, far, 1min));
+    BOOST_TEST(!givesWay(weak, strong, 1s)); // It has just taken over, and the strong one may not be well yet.
+    BOOST_TEST(givesWay(weak, strong, 6s));
+    BOOST_TEST(!givesWay(weak, busy, 6s));
+    BOOST_TEST(!givesWay(weak, alike, 6s));
+    BOOST_TEST(!givesWay(strong, weak, 6s));
+}
+
 BOOST_AUTO_TEST_CASE(JobGoesHomeUnlessAnotherCellStartsItEarlier)
 {
     std::map<CellName, CellView> cells;
--- a/src/node/tests/node_world.cpp
+++ b/src/node/tests/node_world.cpp
@@ -20,7 +20,7 @@
 
 } // namespace
 
-NodeWorld::NodeWorld(std::size_t nodeCount, std::size_t endpointCount, bool hasOtherCell, bool hasOtherNode)
+NodeWorld::NodeWorld(std::size_t nodeCount, std::size_t endpointCount, bool hasOtherCell, bool hasOtherNode, double firstCoreShare)
     : world(endpointCount)
     , nodes(nodeCount)
 {
@@ -36,7 +36,7 @@
                         Incarnation(index + 1),
                         NetAddress("10.1.0." + std::to_string(index) + ":1"),
                         FailureDomain(hasOtherNode && index + 1 == nodeCount ? "other" : "cell"),
-                        0.25,
+                        index == 0 ? firstCoreShare : 0.25,
                         false};
         entry.node = std::make_unique<Node>(NodeOptions{entry.record, domains, LeaseTerms(), std::chrono::milliseconds(100)},
                                             this->portsOf(index));
--- a/src/node/tests/node_world.h
+++ b/src/node/tests/node_world.h
@@ -29,7 +29,8 @@
 {
 public:
     /** Make a world and let the nodes start and find a leader. */
-    NodeWorld(std::size_t nodeCount, std::size_t endpointCount, bool hasOtherCell = false, bool hasOtherNode = false);
+    NodeWorld(std::size_t nodeCount, std::size_t endpointCount, bool hasOtherCell = false, bool hasOtherNode = false,
+              double firstCoreShare = 0.25);
 
     CellWorld world; ///< Store, endpoints and the clock.
     std::vector<WorldNode> nodes; ///< The nodes.
