The timeline is no command of a server; small things found by reading

Before and after: cli_test passes; the deployed program has none of these files. Conclusion: nothing that a caller sees has changed.

--- a/src/cli/cli.cpp
+++ b/src/cli/cli.cpp
@@ -12,8 +12,8 @@
         return *code;
     }
     const CliOptions &options = std::get<CliOptions>(parsed);
-    if (const TimelineCommand *timeline = std::get_if<TimelineCommand>(&options.command)) {
-        return printTimeline(*timeline, terminal);
+    if (options.timeline) {
+        return printTimeline(*options.timeline, terminal);
     }
     Printer printer(terminal, options.output);
     const bool isOperator = std::holds_alternative<OperateCommand>(options.command);
@@ -23,15 +23,7 @@
         return ExitCode::BadInput;
     }
     CommandRunner runner(options, server.value(), input, printer);
-    return std::visit(
-        [&](const auto &command) {
-            if constexpr (std::is_same_v<std::decay_t<decltype(command)>, TimelineCommand>) {
-                return ExitCode::BadInput; // Handled above: it calls no server.
-            } else {
-                return runner.run(command);
-            }
-        },
-        options.command);
+    return std::visit([&](const auto &command) { return runner.run(command); }, options.command);
 }
 
 } // namespace Tanagertally
--- a/src/cli/options.cpp
+++ b/src/cli/options.cpp
@@ -106,9 +106,6 @@
     if (app.got_subcommand("command")) {
         return raw.command;
     }
-    if (app.got_subcommand("timeline")) {
-        return raw.timeline;
-    }
     return StatusCommand();
 }
 
@@ -146,6 +143,10 @@
         return isHelp ? ExitCode::Done : ExitCode::BadInput;
     }
     raw.options.output = raw.output == "json" ? OutputFormat::Json : OutputFormat::Text;
+    if (app.got_subcommand("timeline")) {
+        raw.options.timeline = raw.timeline;
+        return raw.options;
+    }
     raw.options.command = chosenCommand(app, raw);
     const bool isOperator = std::holds_alternative<OperateCommand>(raw.options.command);
     const std::string &file = isOperator ? raw.operatorKeyFile : raw.teamKeyFile;
--- a/src/cli/options.h
+++ b/src/cli/options.h
@@ -56,8 +56,8 @@
     std::vector<std::string> files; ///< Logs of instances.
 };
 
-/** Any command. */
-using Command = std::variant<SubmitCommand, FetchCommand, CancelCommand, KeysCommand, OperateCommand, StatusCommand, TimelineCommand>;
+/** Any command that calls a server. */
+using Command = std::variant<SubmitCommand, FetchCommand, CancelCommand, KeysCommand, OperateCommand, StatusCommand>;
 
 /** How results are printed. */
 enum class OutputFormat : std::uint8_t {
@@ -72,7 +72,8 @@
     std::string secret; ///< Bearer token; empty for none.
     OutputFormat output = OutputFormat::Text; ///< How results are printed.
     std::uint32_t retries = 5; ///< Further tries after a lost connection.
-    Command command; ///< What to do.
+    Command command; ///< What to do at a server.
+    std::optional<TimelineCommand> timeline; ///< What to do instead, without a server.
 };
 
 /**
--- a/tests/process/process_tools.cpp
+++ b/tests/process/process_tools.cpp
@@ -17,13 +17,14 @@
 // Below the range from which the system gives ports to outgoing connections.
 constexpr std::uint32_t FirstPort = 20'000;
 constexpr std::uint32_t PortCount = 12'000;
+constexpr std::size_t UniqueLetters = 6; ///< That mkdtemp() replaces.
 constexpr std::uint32_t PortsPerProcess = 100; ///< Keeps processes that run at once apart.
 
 } // namespace
 
 TemporaryFolder::TemporaryFolder()
 {
-    std::string pattern = (std::filesystem::temp_directory_path() / "tanagertally.XXXXXX").string();
+    std::string pattern = (std::filesystem::temp_directory_path() / ("tanagertally." + std::string(UniqueLetters, 'X'))).string();
     if (mkdtemp(pattern.data()) == nullptr) {
         throw std::runtime_error("can't make a temporary folder");
     }
