Node: divide large failure domains into cells with a leader each

Cause: a cell was a whole failure domain, and one leader gave all orders to its endpoints. Change: when a fleet starts for the first time, one instance of each domain counts the registered endpoints and stores the number of cells, one for each full 45 endpoints; the row never changes, so all instances agree. Endpoints of a rack share a cell. Leads go to the instance with the fewest leads for its core share; one with several gives one away to an idle one after 5 s. Jobs are spread over a domain's cells at random in favour of free capacity, as all instances see the same loads, up to 250 ms old. Domains below 90 endpoints stay whole, so the earlier sites keep their cells. Ruled out: a fixed number of cells (on 12 endpoints jobs of 8 wide tasks no longer fit); changing the number while jobs run (needs a hand over of endpoints between fencing tokens; open).

--- a/src/cells/store_rows.cpp
+++ b/src/cells/store_rows.cpp
@@ -68,6 +68,11 @@
     return {std::string(IdsTable), fmt::format("{:02x}", stableHash(job.value) % IdPartitions), job.value};
 }
 
+RowKey layoutKey(const FailureDomain &domain)
+{
+    return {std::string(LayoutsTable), "", domain.value};
+}
+
 RowKey instanceKey(const InstanceName &instance)
 {
     return {std::string(InstancesTable), "", instance.value};
@@ -145,6 +150,20 @@
     });
 }
 
+std::string encodeCellCount(std::uint32_t count)
+{
+    return toCborText(Json::array({count}));
+}
+
+Result<std::uint32_t> decodeCellCount(std::string_view value)
+{
+    Result<std::uint32_t> count = decodeRow(value, "layout", [](const Json &json) { return json.at(0).get<std::uint32_t>(); });
+    if (count && count.value() == 0) {
+        return makeError(ErrorCode::BadInput, "can't read the layout row: the number of cells must be at least 1", "layout");
+    }
+    return count;
+}
+
 std::string encodeInstance(const InstanceRecord &instance)
 {
     return toCborText(Json::array({instance.name.value, instance.incarnation.value, instance.peerAddress.value, instance.domain.value,
--- a/src/cells/store_rows.h
+++ b/src/cells/store_rows.h
@@ -40,6 +40,7 @@
 
 inline constexpr std::string_view InstancesTable = "instances"; ///< One row for each instance, all in the empty partition.
 inline constexpr std::string_view CellsTable = "cells"; ///< Lead and roster, in the partition of their cell.
+inline constexpr std::string_view LayoutsTable = "layouts"; ///< Number of cells of each failure domain, all in the empty partition.
 inline constexpr std::string_view JobsTable = "jobs"; ///< Jobs that have not ended, in the partition of their cell.
 inline constexpr std::string_view ProgressTable = "progress"; ///< Progress and final states, in the partition of their cell.
 inline constexpr std::string_view IdsTable = "ids"; ///< Cell of each job; partitioned by a hash of the job's name.
@@ -54,6 +55,8 @@
 RowKey progressKey(const CellName &cell, const JobId &job);
 /** @return Key of the row that names the cell of a job. */
 RowKey idKey(const JobId &job);
+/** @return Key of the row with the number of cells of a failure domain. */
+RowKey layoutKey(const FailureDomain &domain);
 /** @return Key of the row of an instance. */
 RowKey instanceKey(const InstanceName &instance);
 
@@ -74,6 +77,10 @@
 /** @return The endpoints, or BadInput for a malformed value. */
 Result<std::vector<EndpointRecord>> decodeRoster(std::string_view value);
 /** @return Row value. */
+std::string encodeCellCount(std::uint32_t count);
+/** @return The number of cells, or BadInput for a malformed value. */
+Result<std::uint32_t> decodeCellCount(std::string_view value);
+/** @return Row value. */
 std::string encodeInstance(const InstanceRecord &instance);
 /** @return The instance, or BadInput for a malformed value. */
 Result<InstanceRecord> decodeInstance(std::string_view value);
--- a/src/node/cell_directory.cpp
+++ b/src/node/cell_directory.cpp
@@ -1,17 +1,27 @@
 #include "node/cell_directory.h"
 
+#include "core/hash_func.h"
+
 #include <algorithm>
+#include <limits>
 
 namespace Tanagertally::Cells {
 
 namespace {
 
 constexpr double OtherDomainPenaltyMs = 15; // Reduction of the expected wait that justifies a hop to another domain.
+constexpr double SpreadMs = 15; // As large as the term for the share of the capacity in use, so that this share sets the odds.
 constexpr double OtherRackFactor = 1; // Away from its data a task takes about twice as long, so its work counts twice.
 
+/** @return Number from 0 to 1 that differs from cell to cell and from job to job. */
+double spreadOf(const CellName &cell, std::uint64_t key)
+{
+    return static_cast<double>(stableHash(cell.value, key)) / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+}
+
 } // namespace
 
-std::vector<CellName> rankCells(const std::map<CellName, CellView> &cells, const CellName &home, const CellDemand &demand)
+std::vector<CellName> rankCells(const std::map<CellName, CellView> &cells, const FailureDomain &home, const CellDemand &demand)
 {
     std::vector<std::pair<double, CellName>> ranked;
     for (const auto &[name, view] : cells) {
@@ -22,7 +32,9 @@
         const double free = static_cast<double>(view.load.freeCpu) / 1000;
         // Time until the waiting work has started, plus a term that grows with the share of the capacity in use.
         double waitMs = (view.load.waitingWork + view.sentWork) / capacity + (1 - free / capacity) * OtherDomainPenaltyMs;
-        if (name != home) {
+        const bool isDivided = name.value != view.domain.value;
+        waitMs += isDivided ? SpreadMs * spreadOf(name, demand.spreadKey) : 0;
+        if (view.domain != home) {
             waitMs += OtherDomainPenaltyMs;
         }
         const bool hasRack
--- a/src/node/cell_directory.h
+++ b/src/node/cell_directory.h
@@ -10,6 +10,7 @@
 
 /** State of a cell as known to this instance. */
 struct CellView {
+    FailureDomain domain; ///< Failure domain of the cell's endpoints.
     InstanceName leader; ///< Instance that claims the lead with the highest fencing token; empty if none does.
     FenceToken token; ///< Fencing token of `leader`.
     bool hasLeadEnded = false; ///< Whether the leader released the lead or its process has ended.
@@ -24,17 +25,22 @@
 struct CellDemand {
     double work = 0; ///< Estimated core-milliseconds.
     RackLabel affinity; ///< Rack near the job's data; empty for none.
+    std::uint64_t spreadKey = 0; ///< Differs from job to job; selects among cells of one domain that are about equally loaded.
 };
 
 /**
  * Order the cells that can take a job by the job's expected start time, earliest first.
  * A cell in another failure domain gets a penalty because each message to it crosses domains, and so does a cell without the rack near
  * the data. Cells without a leader or without capacity are left out.
+ *
+ * Pattern: herd behaviour. All instances of a domain know the same loads, some of them 250 ms old. If each one sent every job to the cell
+ * that was least loaded at that time, this cell would get several times its capacity until the next adverts. A random share of the wait
+ * spreads the jobs over the cells of a divided domain instead, in favour of those with more free capacity.
  * @param cells Known cells.
- * @param home The cell of this instance's failure domain.
+ * @param home Failure domain of this instance.
  * @return Names of the eligible cells in order.
  * Thread safety: any thread.
  */
-std::vector<CellName> rankCells(const std::map<CellName, CellView> &cells, const CellName &home, const CellDemand &demand);
+std::vector<CellName> rankCells(const std::map<CellName, CellView> &cells, const FailureDomain &home, const CellDemand &demand);
 
 } // namespace Tanagertally::Cells
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -8,6 +8,17 @@
 
 namespace Tanagertally::Cells {
 
+namespace {
+
+/** @return Number of leads for each core that a candidate would have with `leads` leads. */
+double leadsPerCore(std::size_t leads, const LeadCandidate &candidate)
+{
+    constexpr double MinimumCoreShare = 0.001; // Keeps the order total for instances without a known share.
+    return static_cast<double>(leads) / std::max(candidate.coreShare, MinimumCoreShare);
+}
+
+} // namespace
+
 bool isLeaderLost(const LeadObservation &lead, bool isObserverInDomain, const LeadershipLimits &limits)
 {
     if (lead.leader.empty() || lead.hasLeadEnded) {
@@ -24,7 +35,7 @@
 {
     const auto rank = [&](std::size_t index) {
         const LeadCandidate &candidate = candidates[index];
-        return std::tuple(candidate.domain != domain, candidate.ledCells, -candidate.coreShare,
+        return std::tuple(candidate.domain != domain, leadsPerCore(candidate.ledCells + 1, candidate),
                           stableHash(cell.value, stableHash(candidate.name.value)));
     };
     std::vector<std::size_t> order(candidates.size());
@@ -40,8 +51,10 @@
         if (other.domain != domain || other.name == self.name) {
             return false;
         }
-        const bool isMuchStronger = other.ledCells == 0 && other.coreShare >= limits.minimumCoreShareRatio * self.coreShare;
-        return self.domain != domain || (isMuchStronger && ledFor >= limits.minimumLeadTime);
+        const bool hasMuchMoreCapacity
+            = other.ledCells == 0
+              && limits.minimumLoadRatio * leadsPerCore(1, other) <= leadsPerCore(std::max<std::size_t>(1, self.ledCells), self);
+        return self.domain != domain || (hasMuchMoreCapacity && ledFor >= limits.minimumLeadTime);
     });
 }
 
--- a/src/node/leadership.h
+++ b/src/node/leadership.h
@@ -34,7 +34,7 @@
     Duration storeSilence = std::chrono::milliseconds(2500); ///< A leader without other transactions renews its lead every 2 s.
     Duration turnLength = std::chrono::milliseconds(700); ///< Time that a candidate has to claim a cell before the next one may.
     Duration minimumLeadTime = std::chrono::seconds(5); ///< Before a release to a stronger instance; most partitions are over by then.
-    double minimumCoreShareRatio = 2; ///< Core share of a candidate, relative to the leader's, that justifies a change of leader.
+    double minimumLoadRatio = 2; ///< Leads per core of the leader, relative to the candidate's after a change, that justify the change.
 };
 
 /**
@@ -45,8 +45,8 @@
 bool isLeaderLost(const LeadObservation &lead, bool isObserverInDomain, const LeadershipLimits &limits);
 
 /**
- * Order candidates by their precedence for leading a cell: first those of the cell's failure domain, then those that lead the fewest cells,
- * then those with the larger core share, then by rendezvous hashing.
+ * Order candidates by their precedence for leading a cell: first those of the cell's failure domain, then those that lead the fewest cells
+ * for their core share, then by rendezvous hashing.
  * @return The order, as indices of `candidates`.
  * Thread safety: any thread.
  */
@@ -63,7 +63,8 @@
 
 /**
  * Decide whether a leader should release its lead in favour of a candidate of the cell's domain. A leader from another domain releases
- * it to any such candidate, a leader of the domain only to a much stronger one that leads no cell.
+ * it to any such candidate, a leader of the domain only to one that leads no cell and is much stronger, or about as strong if the leader
+ * leads several cells.
  * @param self The leader.
  * @param candidates Instances that are able to lead.
  * @param ledFor Time since the leader claimed the cell.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -1,5 +1,7 @@
 #include "node/node.h"
 
+#include "core/hash_func.h"
+
 #include <algorithm>
 
 namespace Tanagertally::Cells {
@@ -18,9 +20,6 @@
     , ports(std::move(nodePorts))
     , startedAt(this->ports.now())
 {
-    for (const FailureDomain &domain : this->options.domains) {
-        this->cells[CellName(domain.value)].vacantSince = this->startedAt;
-    }
 }
 
 bool Node::setConfig(FleetConfig config)
@@ -96,13 +95,14 @@
 {
     const auto &[spec, terms] = *pending.job;
     CellDemand demand;
+    demand.spreadKey = stableHash(pending.id.value);
     for (const StepSpec &step : spec.steps) {
         demand.work += estimatedTaskWork(step) * step.count;
         if (demand.affinity.empty()) {
             demand.affinity = step.affinity;
         }
     }
-    for (const CellName &cell : rankCells(this->cells, CellName(this->options.self.domain.value), demand)) {
+    for (const CellName &cell : rankCells(this->cells, this->options.self.domain, demand)) {
         if (std::ranges::find(pending.triedCells, cell) != pending.triedCells.end()) {
             continue;
         }
@@ -392,6 +392,9 @@
 
 std::optional<std::uint64_t> Node::countPendingJobs(const QueueName &queue) const
 {
+    if (!this->areLayoutsComplete()) {
+        return std::nullopt;
+    }
     std::uint64_t sum = 0;
     for (const auto &[name, view] : this->cells) {
         const auto ledCell = this->ledCells.find(name);
@@ -452,6 +455,9 @@
         due.mapped()();
     }
     this->heartbeat(now);
+    if (!this->areLayoutsComplete()) {
+        this->chooseLayouts(now);
+    }
     std::vector<CellName> names;
     for (const auto &[cell, entry] : this->ledCells) {
         names.push_back(cell);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "node/cell_directory.h"
+#include "node/cell_layout.h"
 #include "node/leadership.h"
 #include "node/node_ports.h"
 
@@ -13,7 +14,7 @@
 /** Options of a Node. */
 struct NodeOptions {
     InstanceRecord self; ///< Record of this instance.
-    std::vector<FailureDomain> domains; ///< All failure domains; each one is a cell.
+    std::vector<FailureDomain> domains; ///< All failure domains.
     LeaseTerms lease; ///< Bounds of the leases of endpoints.
     Duration callReserve = std::chrono::milliseconds(100); ///< A call is answered this long before its deadline, as unknown if need be.
 };
@@ -122,6 +123,12 @@
         bool isLeaving = false; ///< Whether the instance has announced that it is shutting down.
     };
 
+    /** Endpoints of a failure domain without a layout. */
+    struct EndpointCount {
+        std::size_t count = 0; ///< Registered endpoints of the domain.
+        TimePoint changedAt; ///< Time when `count` last changed.
+    };
+
     /** A cell that this instance claims, leads or releases; the entry exists from claim() until its leader emits LeadEnded. */
     struct LedCell {
         std::unique_ptr<CellLeader> leader; ///< Created by claim().
@@ -154,6 +161,13 @@
     template<typename Callback>
     void withLeader(const CellName &cell, std::uint64_t generation, Callback callback);
 
+    // node_layout.cpp: division of failure domains into cells.
+    bool areLayoutsComplete() const;
+    void readLayouts();
+    void onLayoutsRead(const ReadResult &result);
+    void chooseLayouts(TimePoint now);
+    void storeLayout(const DomainLayout &layout);
+
     // node_leads.cpp: choice of leaders.
     void planLeads(TimePoint now);
     void claim(const CellName &cell);
@@ -189,7 +203,9 @@
     std::vector<EndpointRecord> endpoints; ///< Endpoints of all cells, as last set from the registry.
     bool areEndpointsKnown = false; ///< Whether the registry is followed and its first read has completed.
     TimePoint endpointsNeededUntil; ///< The registry is followed at least until this time, even if no cell is led.
-    std::map<CellName, CellView> cells; ///< All cells.
+    std::map<FailureDomain, DomainLayout> layouts; ///< Layouts of the failure domains, as far as known; they never change.
+    std::map<FailureDomain, EndpointCount> endpointCounts; ///< Of domains for whose layout this instance is responsible.
+    std::map<CellName, CellView> cells; ///< All cells of the domains in `layouts`.
     std::map<CellName, LedCell> ledCells; ///< Cells that this instance leads or is taking the lead of.
     std::map<InstanceName, Member> members; ///< Other instances.
     std::map<CallId, PendingCall> calls; ///< Calls that await an answer, by this node's call id.
@@ -201,11 +217,14 @@
     TimePoint startedAt; ///< Time of construction.
     TimePoint nextHeartbeatAt; ///< Time of the next write of this instance's row.
     TimePoint nextMemberReadAt; ///< Time of the next read of the instances' rows.
+    TimePoint nextLayoutReadAt; ///< Time of the next read of the layouts, until they are complete.
     TimePoint nextAdvertAt; ///< Time of the next periodic advert.
     TimePoint nextPlanAt; ///< Time of the next planLeads().
     TimePoint membersReadAt; ///< Time of the last successful read of the instances' rows.
     bool isHeartbeatInFlight = false; ///< Whether a write of this instance's row is in flight.
     bool isMemberReadInFlight = false; ///< Whether a read of the instances' rows is in flight.
+    bool isLayoutReadInFlight = false; ///< Whether a read of the layouts is in flight.
+    bool areLayoutsRead = false; ///< Whether the layouts were read since this instance last stored one.
     bool isAdvertDue = false; ///< Whether a change must be advertised in the next tick.
     bool isLeaving = false; ///< Whether the process is shutting down.
     TimePoint storeReadableSince = TimePoint::max(); ///< First successful read of the instances' rows after a failed one; max() if none.
--- a/src/node/node_cells.cpp
+++ b/src/node/node_cells.cpp
@@ -58,9 +58,11 @@
 
 std::vector<EndpointRecord> Node::endpointsOf(const CellName &cell) const
 {
+    const DomainLayout &layout = this->layouts.at(this->cells.at(cell).domain);
     std::vector<EndpointRecord> own;
-    std::ranges::copy_if(this->endpoints, std::back_inserter(own),
-                         [&cell](const EndpointRecord &record) { return record.domain.value == cell.value; });
+    std::ranges::copy_if(this->endpoints, std::back_inserter(own), [&cell, &layout](const EndpointRecord &record) {
+        return record.domain == layout.domain && cellOf(layout, record) == cell;
+    });
     return own;
 }
 
--- a/src/node/node_leads.cpp
+++ b/src/node/node_leads.cpp
@@ -16,6 +16,8 @@
 constexpr Duration OtherDomainSettleTime = std::chrono::milliseconds(700);
 /** Time after startup before the cell of this instance's domain may be claimed; the first claimant keeps the lead. */
 constexpr Duration OwnDomainSettleTime = std::chrono::milliseconds(300);
+/** Time after startup in which an instance claims one cell only, as the instances that would share the cells are still registering. */
+constexpr Duration SingleClaimTime = std::chrono::milliseconds(1400);
 /** Time without a failed store read on this instance before the storeSilence of a leader counts. */
 constexpr Duration StoreSteadyTime = std::chrono::milliseconds(1500);
 
@@ -27,10 +29,12 @@
     if (this->isLeaving || this->membersReadAt == TimePoint()) {
         return;
     }
-    const std::vector<LeadCandidate> candidates = this->leadCandidates();
+    std::vector<LeadCandidate> candidates = this->leadCandidates();
     for (auto &[cell, view] : this->cells) {
-        const bool isInOwnDomain = this->options.self.domain.value == cell.value;
-        if (this->ledCells.contains(cell) || now < this->startedAt + (isInOwnDomain ? OwnDomainSettleTime : OtherDomainSettleTime)) {
+        const bool isInOwnDomain = this->options.self.domain == view.domain;
+        const bool isLimitedToOneCell = !this->ledCells.empty() && now < this->startedAt + SingleClaimTime;
+        if (this->ledCells.contains(cell) || isLimitedToOneCell
+            || now < this->startedAt + (isInOwnDomain ? OwnDomainSettleTime : OtherDomainSettleTime)) {
             continue;
         }
         LeadObservation lead;
@@ -42,7 +46,7 @@
         if (!lead.leader.empty()) {
             lead.linkSilence = this->links.silence(lead.leader);
             const auto member = this->members.find(lead.leader);
-            lead.isInDomain = member != this->members.end() && member->second.record.domain.value == cell.value;
+            lead.isInDomain = member != this->members.end() && member->second.record.domain == view.domain;
             lead.rowSilence = member == this->members.end() ? Duration::max() : this->membersReadAt - member->second.changedAt;
         }
         if (!isLeaderLost(lead, isInOwnDomain, this->limits)) {
@@ -55,12 +59,13 @@
             this->log("lead-vacant", {{"cell", cell.value}, {"leader", lead.leader.value}, {"gone", lead.hasLeadEnded ? "yes" : "no"}},
                       true);
         }
-        if (!isOwnTurn(this->options.self.name, cell, FailureDomain(cell.value), candidates, now - view.vacantSince, this->limits)) {
+        if (!isOwnTurn(this->options.self.name, cell, view.domain, candidates, now - view.vacantSince, this->limits)) {
             continue;
         }
         this->requestEndpoints(now);
         if (this->areEndpointsKnown) {
             this->claim(cell);
+            ++std::ranges::find(candidates, this->options.self.name, &LeadCandidate::name)->ledCells;
         }
     }
     this->releaseLeads(now, candidates);
@@ -106,11 +111,17 @@
 {
     const auto self = std::ranges::find(candidates, this->options.self.name, &LeadCandidate::name);
     assert(self != candidates.end());
+    // One lead at a time: the candidate's number of leads has to be known again before the next release.
+    const auto isReleasing = [](const auto &entry) { return entry.second.leader->isReleasing(); };
+    if (std::ranges::any_of(this->ledCells, isReleasing)) {
+        return;
+    }
     for (auto &[cell, entry] : this->ledCells) {
-        const bool canRelease = entry.leader->isLeading() && !entry.leader->isReleasing();
-        if (canRelease && shouldReleaseLead(*self, FailureDomain(cell.value), candidates, now - entry.claimedAt, this->limits)) {
+        const FailureDomain &domain = this->cells.at(cell).domain;
+        if (entry.leader->isLeading() && shouldReleaseLead(*self, domain, candidates, now - entry.claimedAt, this->limits)) {
             this->log("lead-given-up", {{"cell", cell.value}, {"core_share", std::to_string(self->coreShare)}});
             entry.leader->release(now);
+            return;
         }
     }
 }
@@ -174,7 +185,7 @@
             this->cells, [&name](const auto &entry) { return entry.second.leader == name && !entry.second.hasLeadEnded; }));
     };
     const InstanceRecord &self = this->options.self;
-    result.push_back({self.name, self.domain, self.coreShare, countLed(self.name)});
+    result.push_back({self.name, self.domain, self.coreShare, this->ledCells.size()});
     for (const auto &[name, member] : this->members) {
         if (this->isMemberAlive(member) && this->links.isLinked(name)) {
             result.push_back({name, member.record.domain, member.record.coreShare, countLed(name)});
--- a/src/node/tests/leadership_test.cpp
+++ b/src/node/tests/leadership_test.cpp
@@ -16,9 +16,10 @@
     return {InstanceName("leader"), isInDomain, false, linkSilence, rowSilence, Duration{}};
 }
 
-CellView viewOf(std::int64_t freeCpu, double waitingWork)
+CellView viewOf(const FailureDomain &domain, std::int64_t freeCpu, double waitingWork)
 {
     CellView view;
+    view.domain = domain;
     view.leader = InstanceName("leader");
     view.load.capacityCpu = 100000;
     view.load.freeCpu = freeCpu;
@@ -83,11 +84,11 @@
 BOOST_AUTO_TEST_CASE(JobGoesToTheHomeCellUnlessAnotherStartsItEarlier)
 {
     std::map<CellName, CellView> cells;
-    cells[CellName("home")] = viewOf(40000, 0);
-    cells[CellName("other")] = viewOf(60000, 0);
-    BOOST_TEST((rankCells(cells, CellName("home"), {1000, {}}).front() == CellName("home")));
-    cells[CellName("home")] = viewOf(0, 20000); // 200 ms of work for all endpoints of the cell.
-    BOOST_TEST((rankCells(cells, CellName("home"), {1000, {}}).front() == CellName("other")));
+    cells[CellName("home")] = viewOf(FailureDomain("home"), 40000, 0);
+    cells[CellName("other")] = viewOf(FailureDomain("other"), 60000, 0);
+    BOOST_TEST((rankCells(cells, FailureDomain("home"), {1000, {}, 0}).front() == CellName("home")));
+    cells[CellName("home")] = viewOf(FailureDomain("home"), 0, 20000); // 200 ms of work for all endpoints of the cell.
+    BOOST_TEST((rankCells(cells, FailureDomain("home"), {1000, {}, 0}).front() == CellName("other")));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
