Cell leader: repeat a start that got no answer instead of stopping the run

Change: the order is sent once more with the same run number, which the endpoint starts at most once; a run that a hold has listed goes on. A refusal of the second order proves nothing about the first, so a stop follows as before, and the job does not count as not run. 'Superseded' after a repetition means that the first order's run has ended. Ruled out: waiting for the next hold instead (it may be delayed by 350 ms); no change for orders that are carried out late, as the repetition takes their place and the late copy is refused by its run number or deadline.

--- a/src/cells/cell_dispatch.cpp
+++ b/src/cells/cell_dispatch.cpp
@@ -18,6 +18,8 @@
 constexpr Duration NoAnswerRetryInterval = std::chrono::milliseconds(100); // Between holds of an endpoint that doesn't answer.
 // No runs are placed on an endpoint for this long after an unanswered call.
 constexpr Duration AvoidAfterNoAnswer = std::chrono::milliseconds(500);
+// No runs are placed on an endpoint until a repeated start order is answered or has failed as well.
+constexpr Duration AvoidDuringRepetition = std::chrono::milliseconds(150);
 constexpr Duration AvoidAfterNoCapacity = std::chrono::milliseconds(50); // The endpoint has runs that this leader doesn't know.
 constexpr Duration AvoidAfterRefusal = std::chrono::milliseconds(500); // After an endpoint refused a run, or refused a hold as unhealthy.
 constexpr Duration StopRetryInterval = std::chrono::milliseconds(150); // Between stop orders for one run.
@@ -42,6 +44,12 @@
     return kind != Kind::Started && kind != Kind::Unknown && kind != Kind::Superseded;
 }
 
+/** @return Whether no order of this leader can be carried out any more, by this incarnation of the endpoint or by any. */
+bool endsOrders(StartResult::Kind kind)
+{
+    return kind == StartResult::Kind::Fenced || kind == StartResult::Kind::OtherIncarnation;
+}
+
 } // namespace
 
 bool CellLeader::canGiveOrders(TimePoint now) const
@@ -195,8 +203,7 @@
     run.confirmedAt = now;
     run.startDeadlineMs = endpoint.estimatedClockMs(now) + toMs(StartValidity);
     endpoint.recordGrant(run.startDeadlineMs);
-    this->actions.emplace_back(
-        StartRun{endpoint.record.name, endpoint.record.address, task, run.run, job.spec.payload, run.startDeadlineMs, this->chain.token()});
+    this->orderStart(job, task, endpoint, run);
     this->log("task-start", {{"job", task.job.value},
                              {"task", toText(task)},
                              {"run", std::to_string(run.run.value)},
@@ -204,6 +211,27 @@
     endpoint.addRun(task, run);
 }
 
+void CellLeader::orderStart(const CellJob &job, const TaskRef &task, const CellEndpoint &endpoint, const RunRecord &run)
+{
+    this->actions.emplace_back(
+        StartRun{endpoint.record.name, endpoint.record.address, task, run.run, job.spec.payload, run.startDeadlineMs, this->chain.token()});
+}
+
+bool CellLeader::repeatStart(TimePoint now, const TaskRef &task, CellEndpoint &endpoint, RunRecord &run)
+{
+    const std::shared_ptr<CellJob> job = this->findJob(task.job);
+    const bool canRepeat
+        = !run.isStartRepeated && run.phase == RunPhase::Starting && job && !isFinal(job->state) && this->canGiveOrders(now);
+    if (!canRepeat) {
+        return false;
+    }
+    // The endpoint starts a run number at most once, so the repetition is harmless if the first order was or will be carried out.
+    run.isStartRepeated = true;
+    endpoint.avoidUntil = std::max(endpoint.avoidUntil, now + AvoidDuringRepetition);
+    this->orderStart(*job, task, endpoint, run);
+    return true;
+}
+
 void CellLeader::onStarted(TimePoint now, const EndpointName &name, const TaskRef &task, RunNumber number, const StartResult &result)
 {
     CellEndpoint *endpoint = this->findEndpoint(name);
@@ -220,7 +248,10 @@
         return; // The end of the run was listed before this answer arrived.
     }
     RunRecord &run = found->second;
-    if (const std::shared_ptr<CellJob> job = this->findJob(task.job); job && hadNoEffect(result.kind)) {
+    // A refusal of a repeated order says nothing about the first one, which may have been carried out or still be under way.
+    const StartResult::Kind kind
+        = run.isStartRepeated && hadNoEffect(result.kind) && !endsOrders(result.kind) ? StartResult::Kind::Unknown : result.kind;
+    if (const std::shared_ptr<CellJob> job = this->findJob(task.job); job && hadNoEffect(kind) && !run.isStartRepeated) {
         ++job->refusedStarts;
     }
     if (result.kind != StartResult::Kind::Started) {
@@ -230,7 +261,7 @@
                                        {"endpoint", name.value},
                                        {"reason", result.detail}});
     }
-    switch (result.kind) {
+    switch (kind) {
     case StartResult::Kind::Started:
         if (run.phase == RunPhase::Starting) {
             run.phase = RunPhase::Running;
@@ -250,6 +281,13 @@
         this->dropRun(now, *endpoint, task, "too-late");
         break;
     case StartResult::Kind::Superseded:
+        if (run.isStartRepeated && run.phase == RunPhase::Starting) {
+            // The first order was carried out and its run has ended; the next hold lists the end.
+            run.phase = RunPhase::Running;
+            run.confirmedAt = now;
+            endpoint->nextHoldAt = now;
+            break;
+        }
         this->dropRun(now, *endpoint, task, "superseded");
         break;
     case StartResult::Kind::Fenced:
@@ -268,6 +306,10 @@
         this->dropRun(now, *endpoint, task, "not-sent");
         break;
     case StartResult::Kind::Unknown:
+        // Otherwise a hold has listed the run, or a stop is under way.
+        if (run.phase != RunPhase::Starting || this->repeatStart(now, task, *endpoint, run)) {
+            return;
+        }
         this->recordNoAnswer(now, *endpoint);
         run.phase = RunPhase::Unconfirmed;
         this->orderStop(now, *endpoint, task, run);
--- a/src/cells/cell_endpoint.h
+++ b/src/cells/cell_endpoint.h
@@ -25,6 +25,7 @@
     Resources demand; ///< Resources that the run occupies.
     TimePoint confirmedAt; ///< When the endpoint last confirmed the run or its stop; until then, when the start was ordered.
     std::int64_t startDeadlineMs = 0; ///< On the endpoint's clock: the endpoint doesn't start the run after this time.
+    bool isStartRepeated = false; ///< Whether the start order got no answer and was sent again.
     bool isStopConfirmed = false; ///< Whether the endpoint confirmed the stop.
     bool isStopInFlight = false; ///< Whether a stop order is in flight.
     TimePoint nextStopAt; ///< When to repeat the stop order.
--- a/src/cells/cell_leader.h
+++ b/src/cells/cell_leader.h
@@ -175,6 +175,8 @@
     void startReadyJobs(TimePoint now);
     bool startWaitingTasks(TimePoint now, CellJob &job);
     void startRun(TimePoint now, CellJob &job, const TaskRef &task, CellEndpoint &endpoint);
+    void orderStart(const CellJob &job, const TaskRef &task, const CellEndpoint &endpoint, const RunRecord &run);
+    bool repeatStart(TimePoint now, const TaskRef &task, CellEndpoint &endpoint, RunRecord &run);
     void addToReadyJobs(TimePoint now, CellJob &job); ///< Ranks a job anew; adds it to `readyJobs` if it has waiting tasks.
     void removeFromReadyJobs(CellJob &job);
     void refreshRanks(TimePoint now);
--- a/src/cells/tests/leader_test.cpp
+++ b/src/cells/tests/leader_test.cpp
@@ -123,6 +123,36 @@
     BOOST_TEST(this->world.violations.empty());
 }
 
+BOOST_FIXTURE_TEST_CASE(RunWhoseStartIsNotAnsweredGoesOnOnceTheRepeatedOrderIsAnswered, OneLeader)
+{
+    // Pattern: endpoints whose answers get lost. To stop such a run and start the task elsewhere doubles the work and makes the job late.
+    int count = 0;
+    this->world.advanceTime(50ms);
+    this->world.orderOutcome = [&count] { return count++ == 0 ? CallOutcome::AnswerLost : CallOutcome::Answered; };
+    this->world.workTime = 500ms;
+    const CallId call = this->world.submit(this->leader, Job, 1, true);
+    const auto isAnswered = [&] { return this->world.leaders[0].submitAnswers.contains(call); };
+    BOOST_TEST(this->world.advanceUntil(isAnswered, 650ms));
+    BOOST_TEST((this->world.leaders[0].submitAnswers[call].verdict == SubmitVerdict::Ended));
+    BOOST_TEST(this->world.startCount == 1U);
+    BOOST_TEST(this->world.violations.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(RefusalOfARepeatedStartDoesNotCountAsNotRun, OneLeader)
+{
+    // The first order is carried out seconds later; the repetition is refused, which says nothing about the first one.
+    int count = 0;
+    this->world.advanceTime(50ms);
+    this->world.orderOutcome = [&count] {
+        ++count;
+        return count == 1 ? CallOutcome::ExecutedLate : count == 2 ? CallOutcome::Refused : CallOutcome::Answered;
+    };
+    this->world.submit(this->leader, Job, 1, true);
+    this->world.advanceTime(8s);
+    BOOST_TEST(this->world.startsOf({Job, 0, 0}) == 1U);
+    BOOST_TEST(this->world.violations.empty());
+}
+
 BOOST_FIXTURE_TEST_CASE(RunsOnAnUnresponsiveEndpointAreRepeatedAfterItsLeaseExpires, OneLeader)
 {
     this->world.workTime = 500ms;
