--- a/tests/process/process_tools.cpp
+++ b/tests/process/process_tools.cpp
@@ -5,6 +5,7 @@
 
 #include <unistd.h>
 
+#include <atomic>
 #include <iostream>
 #include <stdexcept>
 #include <thread>
@@ -54,7 +55,7 @@
 
 std::uint16_t freePort()
 {
-    static std::uint32_t next = static_cast<std::uint32_t>(getpid()) * PortsPerProcess;
+    static std::atomic<std::uint32_t> next = static_cast<std::uint32_t>(getpid()) * PortsPerProcess;
     for (;;) {
         const auto port = static_cast<std::uint16_t>(FirstPort + next++ % PortCount);
         boost::asio::io_context io;
