--- a/src/cells/cell_type.h
+++ b/src/cells/cell_type.h
@@ -12,7 +12,7 @@
 
 namespace Tanagertally::Cells {
 
-using CellName = StrongString<struct CellNameTag>; ///< A cell: the endpoints of one failure domain, led by one instance at a time.
+using CellName = StrongString<struct CellNameTag>; ///< A cell: all or some endpoints of one failure domain, led by one instance at a time.
 using JobId = StrongString<struct BatchJobIdTag>; ///< Job name chosen by the caller; unique in the fleet.
 using QueueName = StrongString<struct QueueNameTag>; ///< Name of a configured queue.
 using ServiceName = StrongString<struct ServiceNameTag>; ///< Name of a service: a pool of endpoints.
