Instance: log what the feeds do and how late the event loop is

A feed logged neither the start nor the end of a call but its first failure, discarded calls left no trace, and nothing told how late the loop was, so that the five hypotheses of docs/incidents/2026-12-04-configuration.md could not be told apart.

Histograms of long polls and of the loop's delay. No logic is changed.

Ruled out: a loop that stands still (H2 as stated). Not seen: old rows (H4), calls without an end (H5). Conclusion: H1, the feed starves itself; H3, slow answers, is why it can.

--- a/src/cells/store_type.h
+++ b/src/cells/store_type.h
@@ -77,6 +77,7 @@
     std::vector<Row> rows; ///< Rows in key order, or changes in version order.
     bool hasMore = false; ///< Whether further rows exist.
     RowVersion version; ///< Newest version of the store.
+    Duration decodeTime{}; ///< Time spent on decoding the answer.
     std::string error; ///< Error text if `isAnswered` is false; otherwise unspecified, not necessarily empty.
 };
 
--- a/src/node/instance_metrics.cpp
+++ b/src/node/instance_metrics.cpp
@@ -13,7 +13,7 @@
     = {0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 1, 1.5, 2.5, 5};
 
 /** Values of the `call` label, in the order of MeasuredCall. */
-constexpr std::array<std::string_view, 6> CallNames = {"submission", "question", "commit", "read", "start", "stop"};
+constexpr std::array<std::string_view, 7> CallNames = {"submission", "question", "commit", "read", "follow", "start", "stop"};
 
 } // namespace
 
@@ -26,6 +26,11 @@
                     .Name("tanagertally_call_seconds")
                     .Help("Time that calls took, by kind of call and outcome.")
                     .Register(this->registry))
+    , loopDelays(prometheus::BuildHistogram()
+                     .Name("tanagertally_loop_delay_seconds")
+                     .Help("Time by which the event loop ran a tick later than planned.")
+                     .Register(this->registry)
+                     .Add({}, LatencyBounds))
 {
 }
 
@@ -45,6 +50,11 @@
         .Observe(std::chrono::duration<double>(elapsed).count());
 }
 
+void InstanceMetrics::observeLoopDelay(Duration delay)
+{
+    this->loopDelays.Observe(std::chrono::duration<double>(delay).count());
+}
+
 std::string InstanceMetrics::text() const
 {
     return prometheus::TextSerializer().Serialize(this->registry.Collect());
--- a/src/node/instance_metrics.h
+++ b/src/node/instance_metrics.h
@@ -22,6 +22,7 @@
     Question, ///< A caller's status query or cancellation.
     Commit, ///< A store transaction.
     Read, ///< A store read.
+    Follow, ///< A long poll for changes of a store table.
     Start, ///< A request to an endpoint to start a run.
     Stop, ///< A request to an endpoint to stop a run.
 };
@@ -42,6 +43,9 @@
     /** Record the latency and the outcome of a call. */
     void observe(MeasuredCall call, std::string_view outcome, Duration elapsed);
 
+    /** Record how late the event loop ran a tick. */
+    void observeLoopDelay(Duration delay);
+
     /** @return All metrics in the Prometheus text format. */
     std::string text() const;
 
@@ -49,6 +53,7 @@
     prometheus::Registry registry; ///< Owns the families.
     prometheus::Family<prometheus::Counter> &decisions; ///< Counters of logged events, labelled by event.
     prometheus::Family<prometheus::Histogram> &latencies; ///< Call latencies in seconds, labelled by call and outcome.
+    prometheus::Histogram &loopDelays; ///< Delays of the event loop in seconds; owned by the registry.
     std::map<std::string, prometheus::Counter *, std::less<>> counters; ///< Counters of `decisions` by event; owned by the family.
 };
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -419,6 +419,14 @@
     this->log("submission-malformed", {{"job", id.value}, {"reason", std::string(reason)}});
 }
 
+void Node::logUnknownQueue(std::string_view host, std::string_view path) const
+{
+    this->log("queue-unknown", {{"host", std::string(host)},
+                                {"path", std::string(path)},
+                                {"version", std::to_string(this->fleetConfig.version)},
+                                {"advertised", std::to_string(this->advertisedConfigVersion)}});
+}
+
 TimePoint Node::now() const
 {
     return this->ports.now();
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -70,6 +70,9 @@
     /** Log a submission that was refused before it reached the node. */
     void logRefusal(const JobId &id, std::string_view reason) const;
 
+    /** Log a request that was refused because the configuration in force has no queue for it. */
+    void logUnknownQueue(std::string_view host, std::string_view path) const;
+
     /** @return Current time of the node's clock. */
     TimePoint now() const;
 
@@ -203,6 +206,7 @@
     NodeLinks links; ///< Links to other instances.
     LeadershipLimits limits;
     FleetConfig fleetConfig; ///< Configuration in force.
+    std::uint64_t advertisedConfigVersion = 0; ///< Newest configuration version that another instance has in force.
     std::vector<EndpointRecord> endpoints; ///< Endpoints of all cells, as last set from the registry.
     bool areEndpointsKnown = false; ///< Whether the registry is followed and its first read has completed.
     TimePoint endpointsNeededUntil; ///< The registry is followed at least until this time, even if no cell is led.
--- a/src/node/table_follower.cpp
+++ b/src/node/table_follower.cpp
@@ -1,5 +1,7 @@
 #include "node/table_follower.h"
 
+#include "core/time_func.h"
+
 #include <algorithm>
 
 namespace Tanagertally::Cells {
@@ -26,6 +28,7 @@
 {
     this->loadingRows.clear();
     this->version = RowVersion();
+    this->loadStartedAt = this->ports.now();
     this->readPage(this->options.firstKey);
 }
 
@@ -52,37 +55,69 @@
 
 void TableFollower::readPage(std::string firstKey)
 {
-    this->ports.read({this->options.table, "", std::move(firstKey), 0}, [this, expected = this->generation](const ReadResult &result) {
-        if (expected != this->generation) {
-            return;
-        }
-        if (!result.isAnswered) {
-            this->onFailed(result, true);
-            return;
-        }
-        for (const Row &row : result.rows) {
-            this->loadingRows[row.key.key] = row;
-        }
-        // Rows may change between the reads of two pages, so changes are followed from the version of the first one.
-        this->version = this->version == RowVersion() ? result.version : std::min(this->version, result.version);
-        if (result.hasMore && !result.rows.empty()) {
-            this->readPage(result.rows.back().key.key + '\0');
-            return;
-        }
-        this->rows = std::exchange(this->loadingRows, {});
-        this->isLoaded = true;
-        this->isFailing = false;
-        this->retryDelay = FirstRetryDelay;
-        this->handler(this->rows);
-        this->followAfter(this->options.batchInterval);
-    });
+    this->ports.read({this->options.table, "", std::move(firstKey), 0},
+                     [this, expected = this->generation, calledAt = this->ports.now()](const ReadResult &result) {
+                         if (expected != this->generation) {
+                             this->logDropped(result, calledAt);
+                             return;
+                         }
+                         if (!result.isAnswered) {
+                             this->onFailed(result, true);
+                             return;
+                         }
+                         for (const Row &row : result.rows) {
+                             this->loadingRows[row.key.key] = row;
+                         }
+                         // Rows may change between the reads of two pages, so changes are followed from the version of the first one.
+                         this->version = this->version == RowVersion() ? result.version : std::min(this->version, result.version);
+                         if (result.hasMore && !result.rows.empty()) {
+                             this->readPage(result.rows.back().key.key + '\0');
+                             return;
+                         }
+                         this->rows = std::exchange(this->loadingRows, {});
+                         this->isLoaded = true;
+                         this->isFailing = false;
+                         this->retryDelay = FirstRetryDelay;
+                         this->logLoaded(result);
+                         this->handler(this->rows);
+                         this->followAfter(this->options.batchInterval);
+                     });
+}
+
+void TableFollower::logLoaded(const ReadResult &lastPage) const
+{
+    std::size_t bytes = 0;
+    for (const auto &[key, row] : this->rows) {
+        bytes += row.value.size();
+    }
+    this->ports.log({"store-feed-loaded",
+                     {{"table", this->options.table},
+                      {"rows", std::to_string(this->rows.size())},
+                      {"bytes", std::to_string(bytes)},
+                      {"version", std::to_string(this->version.value)},
+                      {"took_ms", formatMilliseconds(this->ports.now() - this->loadStartedAt)},
+                      {"decode_ms", formatMilliseconds(lastPage.decodeTime)}},
+                     false});
+}
+
+void TableFollower::logDropped(const ReadResult &result, TimePoint calledAt) const
+{
+    this->ports.log({"store-feed-answer-dropped",
+                     {{"table", this->options.table},
+                      {"answered", result.isAnswered ? "yes" : "no"},
+                      {"rows", std::to_string(result.rows.size())},
+                      {"version", std::to_string(result.version.value)},
+                      {"took_ms", formatMilliseconds(this->ports.now() - calledAt)},
+                      {"decode_ms", formatMilliseconds(result.decodeTime)}},
+                     false});
 }
 
 void TableFollower::follow()
 {
     this->ports.follow(this->options.table, this->version, this->options.maxWait,
-                       [this, expected = this->generation](const ReadResult &result) {
+                       [this, expected = this->generation, calledAt = this->ports.now()](const ReadResult &result) {
                            if (expected != this->generation) {
+                               this->logDropped(result, calledAt);
                                return;
                            }
                            if (!result.isAnswered) {
@@ -121,6 +156,12 @@
         return;
     }
     this->restartedAt = now;
+    this->ports.log({"store-feed-restarted",
+                     {{"table", this->options.table},
+                      {"version", std::to_string(this->version.value)},
+                      {"loaded", this->isLoaded ? "yes" : "no"},
+                      {"call_in_flight", this->isCallScheduled ? "no" : "yes"}},
+                     false});
     ++this->generation;
     this->isCallScheduled = false;
     this->start();
--- a/src/node/table_follower.h
+++ b/src/node/table_follower.h
@@ -46,6 +46,8 @@
 private:
     void readPage(std::string firstKey);
     void follow();
+    void logLoaded(const ReadResult &lastPage) const;
+    void logDropped(const ReadResult &result, TimePoint calledAt) const;
     void followAfter(Duration delay);
     void onFailed(const ReadResult &result, bool mustReload);
     void applyChange(const Row &row);
@@ -55,6 +57,7 @@
     TableHandler handler;
     std::map<std::string, Row> rows; ///< Current rows by key.
     std::map<std::string, Row> loadingRows; ///< Rows received by the full read in progress.
+    TimePoint loadStartedAt; ///< Time of the call for the first page of the last full read.
     RowVersion version; ///< Changes up to this version have been applied.
     bool isLoaded = false; ///< Whether the full read has completed.
     bool isFailing = false; ///< Whether the last call failed.
