Feeds: no answer is discarded because of a later call

Each advert with a newer version made the feed discard the call in flight and start again, at most each 400 ms. Once a call took longer, none counted as long as others were ahead. Class: a timer or a newer attempt throws away work under way, so that an overloaded process does more work and finishes none of it.

Change: calls are made one after the other. A report of newer rows discards nothing; if none arrive for 400 ms, a call is made beside the one in flight (which may hang), at most two at a time and at doubling intervals. Whichever answer comes first counts, and rows never return to an older version, so an answer in any order is safe. A loss of history that repeats is read again with pauses.

Ruled out: a longer interval between restarts, which only moves the processor share at which the feed starves.

--- a/src/node/node_peers.cpp
+++ b/src/node/node_peers.cpp
@@ -152,7 +152,7 @@
                        this->links.recordActivity(sender);
                        this->advertisedConfigVersion = std::max(this->advertisedConfigVersion, advert.configVersion);
                        if (advert.configVersion > this->fleetConfig.version) {
-                           this->ports.reloadConfig();
+                           this->ports.reportNewerConfig();
                        }
                        if (const auto member = this->members.find(sender); member != this->members.end()) {
                            member->second.isLeaving = advert.isLeaving;
--- a/src/node/node_ports.h
+++ b/src/node/node_ports.h
@@ -43,7 +43,7 @@
     std::function<void(const StartRun &, std::function<void(StartResult)>)> startRun; ///< Start a run at an endpoint.
     std::function<void(const StopRun &, std::function<void(StopResult)>)> stopRun; ///< Stop a run at an endpoint.
     std::function<void(const HoldEndpoint &, std::function<void(HoldResult)>)> holdEndpoint; ///< Send a hold request to an endpoint.
-    std::function<void()> reloadConfig; ///< Read the configuration again, as another instance has a newer version in force.
+    std::function<void()> reportNewerConfig; ///< Report that another instance has a newer configuration in force.
     std::function<void(CallId, SubmitAnswer)> answerSubmission; ///< Answer a caller's submission.
     std::function<void(CallId, JobAnswer)> answerJob; ///< Answer a caller's status query or cancellation.
     std::function<void(const WriteLogLine &)> log; ///< Write a line to the log.
--- a/src/node/table_follower.h
+++ b/src/node/table_follower.h
@@ -4,6 +4,8 @@
 #include "node/node_ports.h"
 
 #include <map>
+#include <memory>
+#include <optional>
 
 namespace Tanagertally::Cells {
 
@@ -19,8 +21,12 @@
 using TableHandler = std::function<void(const std::map<std::string, Row> &)>;
 
 /**
- * Follows the rows of one table that have an empty partition key. Thread safety: none; the store's answers have to arrive on the same
- * thread.
+ * Follows the rows of one table that have an empty partition key.
+ *
+ * Calls are made one after the other. If another instance reports newer rows and none arrive, additional calls are made beside the one in
+ * flight, which may hang. Whichever call is answered first counts: no answer is discarded because of a later call, so a slow store, link
+ * or processor delays the rows but can't keep them away. Rows never return to an older version.
+ * Thread safety: none; the store's answers have to arrive on the same thread.
  */
 class TableFollower
 {
@@ -28,14 +34,14 @@
     /** Create an inactive follower. @param ports Must outlive the follower. */
     TableFollower(TableFollowerOptions options, const NodePorts &ports, TableHandler handler);
 
-    /** Start reading the table. */
+    /** Start reading the table. @pre The follower is inactive. */
     void start();
 
     /** Stop and discard all rows. start() may be called again. */
     void stop();
 
-    /** Read the whole table again without waiting for a call in flight, which may hang. Has no effect within 400 ms of the last restart. */
-    void restart(TimePoint now);
+    /** Report that another instance has newer rows than this one. Must be repeated, at least every 2 s, while that is so. */
+    void reportNewerRows(TimePoint now);
 
     /** @return Time of the last failed call. */
     TimePoint lastFailureAt() const;
@@ -44,29 +50,44 @@
     void tick(TimePoint now);
 
 private:
-    void readPage(std::string firstKey);
-    void follow();
-    void logLoaded(const ReadResult &lastPage) const;
-    void logDropped(const ReadResult &result, TimePoint calledAt) const;
-    void followAfter(Duration delay);
-    void onFailed(const ReadResult &result, bool mustReload);
-    void applyChange(const Row &row);
+    /** Whether a call belongs to the sequence of calls or is made beside it. */
+    enum class CallKind : std::uint8_t { Regular, Additional };
+
+    /** A read of the whole table, page by page. */
+    struct Load {
+        CallKind kind = CallKind::Regular;
+        std::map<std::string, Row> rows; ///< Rows received so far.
+        RowVersion version; ///< Lowest version of the pages received so far.
+        TimePoint startedAt; ///< Time of the call for the first page.
+    };
+
+    void call(CallKind kind);
+    void readPage(std::shared_ptr<Load> load, std::string firstKey);
+    void onLoaded(Load &load, const ReadResult &lastPage);
+    void follow(CallKind kind);
+    void applyChanges(const ReadResult &result);
+    bool applyChange(const Row &row);
+    void scheduleCall(Duration delay);
+    void onFailed(CallKind kind, const ReadResult &result);
+    void makeAdditionalCall(TimePoint now);
+    void endCall(CallKind kind);
+    void noteProgress();
 
     TableFollowerOptions options;
     const NodePorts &ports; ///< Access to the store.
     TableHandler handler;
     std::map<std::string, Row> rows; ///< Current rows by key.
-    std::map<std::string, Row> loadingRows; ///< Rows received by the full read in progress.
-    TimePoint loadStartedAt; ///< Time of the call for the first page of the last full read.
     RowVersion version; ///< Changes up to this version have been applied.
-    bool isLoaded = false; ///< Whether the full read has completed.
-    bool isFailing = false; ///< Whether the last call failed.
-    bool isCallScheduled = false; ///< Whether the next call is due at `nextCallAt`.
-    TimePoint nextCallAt; ///< Valid only while `isCallScheduled`.
+    bool mustLoad = true; ///< Whether the next call must read the whole table.
+    std::uint32_t failures = 0; ///< Consecutive failed regular calls.
+    std::optional<TimePoint> nextCallAt; ///< Time of the next regular call; unset while one is in flight.
     Duration retryDelay{}; ///< Delay before the next retry; doubles with each failure.
     TimePoint failedAt; ///< Time of the last failed call.
-    TimePoint restartedAt; ///< Time of the last restart() that had an effect.
-    std::uint64_t generation = 0; ///< Incremented by stop() and restart(); answers to calls of an earlier generation are ignored.
+    TimePoint reportedAt; ///< Time of the last report of newer rows.
+    std::optional<TimePoint> additionalCallAt; ///< Time of the next additional call; unset if no newer rows are awaited.
+    Duration additionalCallDelay{}; ///< Delay before the next additional call; doubles with each one.
+    std::uint32_t additionalCalls = 0; ///< Additional calls in flight.
+    std::uint64_t generation = 0; ///< Incremented by stop(); answers to calls of an earlier generation are ignored.
 };
 
 } // namespace Tanagertally::Cells
--- a/src/node/tests/node_world.cpp
+++ b/src/node/tests/node_world.cpp
@@ -255,7 +255,7 @@
     };
     ports.answerSubmission = [this, node](CallId call, const SubmitAnswer &answer) { this->nodes[node].submitAnswers[call] = answer; };
     ports.answerJob = [this, node](CallId call, const JobAnswer &answer) { this->nodes[node].jobAnswers[call] = answer; };
-    ports.reloadConfig = [] {};
+    ports.reportNewerConfig = [] {};
     ports.log = [](const WriteLogLine &) {};
     return ports;
 }
--- a/src/node/tests/table_follower_test.cpp
+++ b/src/node/tests/table_follower_test.cpp
@@ -38,6 +38,7 @@
     bool isSilent = false; ///< Whether connections that carry calls now go silent.
     std::vector<Call> calls; ///< Calls in flight.
     std::size_t callCount = 0; ///< Calls made so far.
+    std::optional<ReadResult> oldRows; ///< What the store answers to reads instead of its rows; unset usually.
     std::vector<std::string> events; ///< Events logged.
     std::map<std::uint64_t, TimePoint> writtenAt; ///< Time of each version of the row.
     std::map<std::uint64_t, TimePoint> seenAt; ///< Time at which the handler first received each version or a newer one.
@@ -89,13 +90,18 @@
         }
     }
 
+    ReadResult read() const
+    {
+        return this->oldRows ? *this->oldRows : this->model.read({"op", "", "config", 0});
+    }
+
     /** Executes calls at the store and delivers the answers that have arrived. */
     void advanceCalls()
     {
         std::vector<std::pair<std::function<void(ReadResult)>, ReadResult>> due;
         std::erase_if(this->calls, [&](Call &call) {
             if (!call.isSilent && !call.answer) {
-                ReadResult result = call.isPoll ? this->model.changesAfter("op", call.after) : this->model.read({"op", "", "config", 0});
+                ReadResult result = call.isPoll ? this->model.changesAfter("op", call.after) : this->read();
                 if (!call.isPoll || !result.rows.empty() || result.isHistoryLost || this->now >= call.waitsUntil) {
                     call.answer = std::move(result);
                     call.arrivesAt = this->now + this->transferTime;
@@ -129,7 +135,7 @@
             if (this->now >= this->nextReportAt) {
                 this->nextReportAt = this->now + ReportInterval;
                 if (!this->writtenAt.empty() && this->seen < this->writtenAt.rbegin()->first) {
-                    this->follower.restart(this->now);
+                    this->follower.reportNewerRows(this->now);
                 }
             }
         }
@@ -169,4 +175,87 @@
     BOOST_TEST((this->longestDelay() <= ConfigBound));
 }
 
+BOOST_FIXTURE_TEST_CASE(AdditionalCallIsAnsweredInTimeIfTheRegularOneHangsOnASilentConnection, FeedFixture)
+{
+    this->write(1);
+    this->follower.start();
+    this->run(1s);
+    this->isSilent = true; // The next long poll never returns.
+    this->run(1s);
+    this->isSilent = false;
+    this->transferTime = 500ms;
+    this->write(2);
+    this->run(ConfigBound);
+    BOOST_TEST(this->seen == 2U);
+    BOOST_TEST((this->longestDelay() <= ConfigBound));
+}
+
+BOOST_FIXTURE_TEST_CASE(AnswersWithinTheUsualTimeCauseNoAdditionalCalls, FeedFixture)
+{
+    this->write(1);
+    this->follower.start();
+    this->transferTime = 250ms;
+    for (std::uint64_t version = 2; version <= 8; ++version) {
+        this->run(1150ms);
+        this->write(version);
+    }
+    this->run(1s);
+    BOOST_TEST(this->seen == 8U);
+    BOOST_TEST(std::ranges::count(this->events, "store-feed-additional-call") == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(ReportsWithoutNewerRowsCauseFewAdditionalCalls, FeedFixture)
+{
+    this->write(1);
+    this->follower.start();
+    for (int report = 0; report < 100; ++report) {
+        this->run(100ms);
+        this->follower.reportNewerRows(this->now);
+    }
+    BOOST_TEST(std::ranges::count(this->events, "store-feed-additional-call") <= 10);
+    this->run(10s);
+    const std::size_t before = this->callCount;
+    this->run(10s);
+    BOOST_TEST(this->callCount - before <= 11U); // One long poll a second.
+}
+
+// Guards against a return to an older configuration: a store that has lost its history may answer reads with rows of some seconds ago.
+BOOST_FIXTURE_TEST_CASE(OldRowsReadAfterALossOfHistoryDoNotReplaceNewerOnes, FeedFixture)
+{
+    this->write(1);
+    this->follower.start();
+    this->run(1s);
+    const ReadResult old = this->read();
+    this->write(2);
+    this->run(1s);
+    BOOST_REQUIRE(this->seen == 2U);
+    this->write(3);
+    this->model.discardHistory();
+    this->oldRows = old;
+    const std::size_t before = this->callCount;
+    this->run(3s);
+    BOOST_TEST(this->callCount - before <= 15U);
+    this->oldRows.reset();
+    this->run(ConfigBound);
+    BOOST_TEST(this->seen == 3U);
+    BOOST_TEST(!this->hasRegressed);
+}
+
+// Guards against reads of the whole table without a pause, which take all processor time of a small instance.
+BOOST_FIXTURE_TEST_CASE(HistoryThatIsLostAgainAndAgainIsReadWithPauses, FeedFixture)
+{
+    this->write(1);
+    this->follower.start();
+    this->run(1s);
+    const std::size_t before = this->callCount;
+    for (int loss = 0; loss < 300; ++loss) {
+        this->write(static_cast<std::uint64_t>(loss) + 2);
+        this->model.discardHistory();
+        this->run(10ms);
+    }
+    BOOST_TEST(this->callCount - before <= 30U);
+    this->run(ConfigBound);
+    BOOST_TEST(this->seen == 301U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
