--- a/src/endpoint/http_connection.cpp
+++ b/src/endpoint/http_connection.cpp
@@ -23,7 +23,6 @@
 constexpr int KeepaliveProbes = 3; ///< Unanswered probes after which the connection fails.
 constexpr std::chrono::milliseconds UserTimeout{4'000}; ///< Time after which unacknowledged data fails the connection.
 constexpr std::uint32_t MaxResponseHeaderBytes = 8 * 1024; ///< Limit of the header of a response.
-constexpr std::size_t InitialBufferBytes = 2'048; ///< Initial capacity of the read buffer.
 constexpr int MinFinalStatus = 200; ///< 1xx statuses are interim responses that precede the final one.
 
 using KeepaliveIdleOption = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
@@ -68,7 +67,7 @@
     , options(options)
     , buffer(MaxResponseHeaderBytes + options.maxAnswerBytes)
 {
-    this->buffer.reserve(InitialBufferBytes);
+    this->buffer.reserve(this->options.readBufferBytes);
 }
 
 void HttpConnection::exchange(HttpClientRequest newRequest, std::optional<SteadyTimePoint> requestDeadline, HttpResultHandler handler)
--- a/src/endpoint/http_type.h
+++ b/src/endpoint/http_type.h
@@ -102,6 +102,7 @@
 struct HttpConnectionOptions {
     Duration connectTimeout = std::chrono::milliseconds(500); ///< Time after which connecting fails.
     std::size_t maxAnswerBytes = std::size_t(1) << 20; ///< Limit of the body of a response.
+    std::size_t readBufferBytes = 2'048; ///< Size of the read buffer, and so the most that is read in one turn of the event loop.
 };
 
 /** Limits of one pool. */
