Store client: an answer that keeps arriving is not given up

On calls of the configuration feed ended by their time limit of 1.5 or 1.6 s, and the next call began with the first byte again; store-feed-lost table=servers for seconds on the same instances (DRAIN depends on that feed).

Cause: the time limit of a call was for the whole of it, whether bytes arrived or not. On an instance short of processor time, or with a link of 25 Mbit/s, a large answer takes longer than that each time. Same class: a timer throws away work under way.

Change: a request may have a progress time; each part of its response moves the deadline to at least that much later. Ruled out: a longer time limit alone, which would find silent connections later than a configuration has to be in force. Conclusion: a call to the store ends when its answer is complete or nothing arrives; size alone can't end it.

--- a/src/endpoint/http_connection.cpp
+++ b/src/endpoint/http_connection.cpp
@@ -70,10 +70,12 @@
     this->buffer.reserve(this->options.readBufferBytes);
 }
 
-void HttpConnection::exchange(HttpClientRequest newRequest, std::optional<SteadyTimePoint> requestDeadline, HttpResultHandler handler)
+void HttpConnection::exchange(HttpClientRequest newRequest, std::optional<SteadyTimePoint> requestDeadline, Duration extension,
+                              HttpResultHandler handler)
 {
     this->request = std::move(newRequest);
     this->deadline = requestDeadline;
+    this->progressTime = extension;
     this->resultHandler = std::move(handler);
     if (this->lifecycle.state() == ConnectionState::Unconnected) {
         this->connect();
@@ -140,10 +142,37 @@
     this->parser.emplace();
     this->parser->header_limit(MaxResponseHeaderBytes);
     this->parser->body_limit(this->options.maxAnswerBytes);
+    if (this->progressTime > Duration{}) {
+        this->readPart();
+        return;
+    }
     http::async_read(this->socket, this->buffer, *this->parser,
                      [self = this->shared_from_this()](const error_code &error, std::size_t) { self->onRead(error); });
 }
 
+void HttpConnection::readPart()
+{
+    http::async_read_some(this->socket, this->buffer, *this->parser,
+                          [self = this->shared_from_this()](const error_code &error, std::size_t) {
+                              if (error || self->parser->is_done()) {
+                                  self->onRead(error);
+                                  return;
+                              }
+                              self->extendDeadline();
+                              self->readPart();
+                          });
+}
+
+void HttpConnection::extendDeadline()
+{
+    const SteadyTimePoint earliest
+        = std::chrono::steady_clock::now() + std::chrono::duration_cast<SteadyTimePoint::duration>(this->progressTime);
+    if (this->deadline && *this->deadline < earliest && this->abortReason.empty()) {
+        this->deadline = earliest;
+        this->startTimer(earliest, "timeout");
+    }
+}
+
 void HttpConnection::onRead(const error_code &error)
 {
     if (error) {
--- a/src/endpoint/http_pool.cpp
+++ b/src/endpoint/http_pool.cpp
@@ -64,7 +64,7 @@
         weak.lock()->abort("request finished");
         done(std::move(result));
     };
-    connection->exchange(std::move(call.request), call.deadline, std::move(finished));
+    connection->exchange(std::move(call.request), call.deadline, call.progressTime, std::move(finished));
 }
 
 void HttpPool::sendOn(const std::shared_ptr<HttpConnection> &connection, HttpCall call)
@@ -78,7 +78,7 @@
         self->returnConnection(weak.lock(), connectedAddress);
         done(std::move(result));
     };
-    connection->exchange(std::move(call.request), call.deadline, std::move(finished));
+    connection->exchange(std::move(call.request), call.deadline, call.progressTime, std::move(finished));
 }
 
 void HttpPool::returnConnection(const std::shared_ptr<HttpConnection> &connection, const asio::ip::tcp::endpoint &connectedAddress)
