--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -39,6 +39,11 @@
     return this->fleetConfig;
 }
 
+bool Node::isConfigOutdated() const
+{
+    return this->advertisedConfigVersion > this->fleetConfig.version;
+}
+
 void Node::submit(CallId call, JobId id, JobSpec spec, JobTerms terms, TimePoint deadline)
 {
     const CallId ownCall(++this->lastCall);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -43,6 +43,9 @@
     /** @return The configuration in force; its version is 0 if there is none. */
     const FleetConfig &config() const;
 
+    /** @return Whether another instance has advertised a newer configuration than the one in force here. */
+    bool isConfigOutdated() const;
+
     /** Replace the known endpoints by those of the registry. */
     void setEndpoints(std::vector<EndpointRecord> records);
 
--- a/src/node/node_peers.cpp
+++ b/src/node/node_peers.cpp
@@ -151,7 +151,7 @@
                        const InstanceName sender = requester->second;
                        this->links.recordActivity(sender);
                        this->advertisedConfigVersion = std::max(this->advertisedConfigVersion, advert.configVersion);
-                       if (advert.configVersion > this->fleetConfig.version) {
+                       if (this->isConfigOutdated()) {
                            this->ports.reportNewerConfig();
                        }
                        if (const auto member = this->members.find(sender); member != this->members.end()) {
