Platform client of the daemon: an answer that keeps arriving is not given up

Its feeds (configuration, drains, instance list, recovery's scan) make one call at a time and discard none, and the configuration's row has a version check; but each call had a time limit for the whole answer, with the next one beginning at the first byte, and read 2 KiB in a turn of the event loop. Evidence: AnswerThatKeepsArrivingIsCompletedAfterTheTimeout failed without the change and passes with it; platform_test passes. Also: the comments say body where the header doesn't count.

Ruled out: a feed of the daemon that restarts itself; by reading, there is none.

--- a/src/endpoint/http_connection.h
+++ b/src/endpoint/http_connection.h
@@ -52,7 +52,7 @@
      * Send a request and read its response.
      * @param newRequest The request.
      * @param requestDeadline Time at which the request is aborted; unset for no limit. The connect timeout applies in addition.
-     * @param extension Each part of the response that arrives moves the deadline to at least this much later; 0 for a fixed deadline.
+     * @param extension Each part of the body that arrives moves the deadline to at least this much later; 0 for a fixed deadline.
      * @param handler Called exactly once with the result, never from within this call.
      * @pre The connection is new or isUsable().
      */
@@ -96,7 +96,7 @@
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser; ///< Parser of its response.
     HttpResultHandler resultHandler; ///< Receives the result; empty when no request is in flight.
     std::optional<SteadyTimePoint> deadline; ///< Time at which the request in flight is aborted; unset for no limit.
-    Duration progressTime{}; ///< Shortest time from a part of the response to the deadline; 0 for a fixed deadline.
+    Duration progressTime{}; ///< Shortest time from a part of the body to the deadline; 0 for a fixed deadline.
     SteadyTimePoint writeStart; ///< Time at which writing of the request began.
     std::uint64_t timerGeneration = 0; ///< Identifies the current timer; handlers of earlier timers are ignored.
     std::string abortReason; ///< Error text passed to abort(); empty if the connection was not aborted.
--- a/src/endpoint/http_type.h
+++ b/src/endpoint/http_type.h
@@ -95,7 +95,7 @@
     HttpClientRequest request;
     std::optional<Duration> maxIdle; ///< Longest idle time of a reused connection; unset for no limit.
     std::optional<SteadyTimePoint> deadline; ///< Time at which the request is aborted; unset for no limit.
-    Duration progressTime{}; ///< Each part of the response that arrives moves the deadline to at least this much later; 0 for a fixed one.
+    Duration progressTime{}; ///< Each part of the body that arrives moves the deadline to at least this much later; 0 for a fixed one.
     HttpResultHandler done; ///< Called exactly once with the result, on the strand of the pool.
 };
 
--- a/src/platform/platform_client.cpp
+++ b/src/platform/platform_client.cpp
@@ -16,11 +16,16 @@
 
 namespace {
 
+constexpr std::size_t ReadBufferBytes = std::size_t(64) << 10; // A list or an object of 1 MB takes 16 turns of the event loop.
+/** Time without a byte after which the rest of a response is given up. A large one may take any time as long as it keeps arriving. */
+constexpr std::chrono::milliseconds ProgressTime{600};
+
 HttpPoolOptions toPoolOptions(const PlatformClientOptions &options, std::uint32_t connections)
 {
     HttpPoolOptions poolOptions;
     poolOptions.connection.connectTimeout = options.connectTimeout;
     poolOptions.connection.maxAnswerBytes = options.maxAnswerBytes;
+    poolOptions.connection.readBufferBytes = ReadBufferBytes;
     poolOptions.maxConnections = connections;
     poolOptions.maxWaiting = options.maxWaiting;
     return poolOptions;
@@ -82,6 +87,7 @@
         call.id = HttpCallId(action.id.value);
         call.request = std::move(request).value();
         call.deadline = deadline;
+        call.progressTime = ProgressTime;
         call.done = [self, id = action.id, platformRequest = std::move(action.request)](HttpResult result) {
             self->events.push(PlatformReplied{id, toPlatformReply(platformRequest, std::move(result))});
         };
@@ -113,6 +119,7 @@
     HttpCall call;
     call.request = makeInstancesRequest(this->fields);
     call.deadline = std::chrono::steady_clock::now() + this->options.listTimeout;
+    call.progressTime = ProgressTime;
     call.done = [self = this->shared_from_this()](const HttpResult &result) { self->onListResult(result); };
     this->listPool->start(std::move(call));
 }
--- a/src/platform/platform_client.h
+++ b/src/platform/platform_client.h
@@ -20,7 +20,7 @@
     Duration listInterval = std::chrono::milliseconds(500); ///< Time from the end of a request for the instance list to the next one.
     std::uint32_t connections = 4; ///< Limit of connections for requests; the instance list has a connection of its own.
     InstanceName instance; ///< Name of this instance, sent in the header field `Client-Instance`.
-    Duration listTimeout = std::chrono::seconds(2); ///< Time after which a request for the instance list is aborted.
+    Duration listTimeout = std::chrono::seconds(2); ///< Time after which a request for the instance list is aborted unless it is arriving.
     Duration connectTimeout = std::chrono::milliseconds(500); ///< Time after which connecting fails.
     std::uint32_t maxWaiting = 4096; ///< Limit of requests that wait for a connection.
     std::size_t maxAnswerBytes = std::size_t(64) << 20; ///< Limit of the body of a response.
@@ -49,7 +49,10 @@
     PlatformClient(const PlatformClient &) = delete;
     PlatformClient &operator=(const PlatformClient &) = delete;
 
-    /** Send a request to the platform. Exactly one PlatformReplied is pushed, at the latest when the timeout of the action expires. */
+    /**
+     * Send a request to the platform. Exactly one PlatformReplied is pushed, at the latest when the timeout of the action expires, or when
+     * the response is complete or has stopped arriving, if it is arriving then.
+     */
     void execute(SendPlatformRequest action);
 
     /** Stop polling the instance list, close idle connections and reject new requests; requests in flight finish. */
--- a/src/platform/tests/platform_test.cpp
+++ b/src/platform/tests/platform_test.cpp
@@ -218,6 +218,28 @@
     BOOST_TEST(fixture.hasNoMoreEvents());
 }
 
+// Guards against a row or an object that is never received: it takes longer than the timeout each time, and each time from the first byte.
+BOOST_AUTO_TEST_CASE(AnswerThatKeepsArrivingIsCompletedAfterTheTimeout)
+{
+    const std::string body(200, 'b');
+    TestServer server([&body](ServerConnection &connection, int) {
+        if (readTableRequest(connection).empty()) {
+            return;
+        }
+        constexpr std::size_t Parts = 4;
+        const std::string text = httpResponse("200 OK", body);
+        for (std::size_t part = 0; part < Parts; ++part) {
+            const std::size_t from = part * text.size() / Parts;
+            connection.send(text.substr(from, (part + 1) * text.size() / Parts - from));
+            std::this_thread::sleep_for(300ms);
+        }
+        connection.awaitClose();
+    });
+    PlatformFixture fixture(server.address());
+    fixture.ask(1, SampleGet, 500ms);
+    BOOST_TEST(describe(fixture.await<PlatformReplied>().reply) == "object " + body);
+}
+
 BOOST_AUTO_TEST_CASE(ConnectionsPersist)
 {
     TestServer server([&](ServerConnection &connection, int) {
