Log: tasks of a lost endpoint, first listing of a new one, passes that end early

Change: endpoint-lost names the tasks, the address and the silence; endpoint-listed tells how long an endpoint had been known before it listed its runs; pass-cut, at most once a second, tells that waiting jobs were left unexamined although an endpoint had room for the smallest of those that were. No logic changes.

--- a/src/cells/cell_dispatch.cpp
+++ b/src/cells/cell_dispatch.cpp
@@ -29,6 +29,8 @@
 constexpr Duration SpeedUpdateInterval = std::chrono::milliseconds(100); // Bounds the processor time; speeds change over seconds.
 constexpr std::size_t MaxDeferrals = 32; // Jobs that wait for faster endpoints in one pass; bounds its length.
 constexpr double PassingFaultSlowness = 2.5; // Lasting speeds differ by less; see EndpointHealth.
+constexpr Duration PassLogInterval = std::chrono::seconds(1); // Bounds the log.
+constexpr std::size_t MaxLoggedTasks = 8; // Bounds the length of a line.
 
 std::int64_t toMs(Duration duration)
 {
@@ -40,6 +42,20 @@
     return std::to_string(task.step) + "." + std::to_string(task.index);
 }
 
+/** @return Names of the first tasks that run on an endpoint. */
+std::string namesOfRuns(const CellEndpoint &endpoint)
+{
+    std::string names;
+    std::size_t count = 0;
+    for (const auto &[task, run] : endpoint.runs) {
+        if (++count > MaxLoggedTasks) {
+            break;
+        }
+        names += (names.empty() ? "" : ",") + task.job.value + "." + toText(task);
+    }
+    return names;
+}
+
 /** @return Whether a start order with this result certainly started no run. */
 bool hadNoEffect(StartResult::Kind kind)
 {
@@ -138,6 +154,14 @@
         }
     }
     this->smallestWaitingCpu = entry == this->readyJobs.end() ? smallestDemand : 0;
+    const bool isCut = entry != this->readyJobs.end() && largestRoom >= smallestDemand;
+    if (isCut && now >= this->lastCutPassLoggedAt + PassLogInterval) {
+        this->lastCutPassLoggedAt = now;
+        this->log("pass-cut", {{"examined", std::to_string(examined)},
+                               {"misses", std::to_string(misses)},
+                               {"ready", std::to_string(this->readyJobs.size())},
+                               {"largest_room", std::to_string(largestRoom)}});
+    }
 }
 
 std::int64_t CellLeader::largestFreeCpu() const
@@ -505,7 +529,11 @@
         endpoint->recordAcknowledgement(endpoint->sentAcknowledgement);
         endpoint->lastListedAt = now;
         this->reconcileRuns(now, *endpoint, result);
-        endpoint->hasListedRuns = true;
+        if (!std::exchange(endpoint->hasListedRuns, true) && this->isRecoverySettled) {
+            this->log("endpoint-listed", {{"endpoint", name.value},
+                                          {"address", endpoint->record.address.value},
+                                          {"known_ms", std::to_string(toMs(now - endpoint->registeredAt))}});
+        }
         this->unlistedEndpoints.erase(name);
         endpoint->nextHoldAt = endpoint->hasUnsettledEnds() ? now + UnsettledHoldInterval : now;
         break;
@@ -774,10 +802,14 @@
 void CellLeader::dropRuns(TimePoint now, CellEndpoint &endpoint, std::string_view reason)
 {
     if (!endpoint.runs.empty()) {
-        this->log(
-            "endpoint-lost",
-            {{"endpoint", endpoint.record.name.value}, {"runs", std::to_string(endpoint.runs.size())}, {"reason", std::string(reason)}},
-            true);
+        this->log("endpoint-lost",
+                  {{"endpoint", endpoint.record.name.value},
+                   {"address", endpoint.record.address.value},
+                   {"runs", std::to_string(endpoint.runs.size())},
+                   {"tasks", namesOfRuns(endpoint)},
+                   {"silent_ms", std::to_string(toMs(now - endpoint.lastContactAt))},
+                   {"reason", std::string(reason)}},
+                  true);
     }
     std::vector<TaskRef> tasks;
     for (auto &[task, run] : endpoint.runs) {
--- a/src/cells/cell_endpoint.cpp
+++ b/src/cells/cell_endpoint.cpp
@@ -54,6 +54,7 @@
     this->born = startedAtMs;
     this->bornSeenAt = now;
     this->hasListedRuns = false;
+    this->registeredAt = now;
     this->sentAcknowledgement = 0;
     this->nextHoldAt = now;
     this->avoidUntil = {};
--- a/src/cells/cell_endpoint.h
+++ b/src/cells/cell_endpoint.h
@@ -98,6 +98,7 @@
     TimePoint lastListedAt; ///< When the endpoint last listed its runs.
     TimePoint lastStartAt; ///< When the last start was ordered.
     TimePoint lastContactAt; ///< When the endpoint last answered.
+    TimePoint registeredAt; ///< When this leader first saw the registration of the present incarnation.
     EndpointHealth health; ///< Health as judged from the endpoint's runs.
     EndpointSpeed speed; ///< Lasting speed relative to the cell, as learnt from the endpoint's runs.
     std::uint32_t consecutiveFailures = 0; ///< Unanswered calls since the last answer.
--- a/src/cells/cell_leader.cpp
+++ b/src/cells/cell_leader.cpp
@@ -45,7 +45,9 @@
             this->updateRegistration(now, *found->second, record);
             continue;
         }
-        this->endpoints.emplace(record.name, std::make_unique<CellEndpoint>(record, this->options.lease, this->runIndex));
+        auto endpoint = std::make_unique<CellEndpoint>(record, this->options.lease, this->runIndex);
+        endpoint->registeredAt = now;
+        this->endpoints.emplace(record.name, std::move(endpoint));
         this->isRosterDirty = true;
     }
     std::erase_if(this->endpoints, [](const auto &entry) {
--- a/src/cells/cell_leader.h
+++ b/src/cells/cell_leader.h
@@ -284,6 +284,7 @@
     bool hasLateJobs = false; ///< Whether a waiting job was expected to end late when advance() was last called.
     std::int64_t smallestWaitingCpu
         = 0; ///< Lower bound of the demands of the tasks that are next in `readyJobs`, in thousandths of a core.
+    TimePoint lastCutPassLoggedAt; ///< When a pass that left waiting jobs unexamined was last logged.
     std::set<JobRank> readyJobs; ///< Ranks of the jobs with waiting tasks; unrelated to the configured queues.
     std::optional<CellEvacuation> evacuation; ///< Set while the cell is evacuated.
     bool isReleaseRequested = false; ///< Whether the lead is to be released.
