A task under which endpoints crashed runs alone, and is given up once its crashes are certain

Cause: a run that was lost with its endpoint was repeated like any other, first of all waiting tasks and without a count, so that each deadly task took down an endpoint a second until the end. Change: CrashHistory, without network, keeps the endpoints that were lost while tasks ran on them. Losses of many endpoints at once have a common cause and isolate nobody. The history is one row of the cell, written with a loss and else beside other rows, so the next leader has it and no task costs a call; best-effort jobs are in it as well and get 'failed' when they come back.

--- a/src/cells/cell_dispatch.cpp
+++ b/src/cells/cell_dispatch.cpp
@@ -81,6 +81,9 @@
 void CellLeader::addToReadyJobs(TimePoint now, CellJob &job)
 {
     this->removeFromReadyJobs(job);
+    if (this->crashes.concerns(job.id)) {
+        this->isolateSuspects(now, job);
+    }
     if (job.waiting().empty()) {
         return;
     }
@@ -113,6 +116,7 @@
 
 void CellLeader::startReadyJobs(TimePoint now)
 {
+    this->startIsolatedTasks(now);
     if (!this->canGiveOrders(now) || this->areStartsOver(now)) {
         return;
     }
@@ -206,7 +210,8 @@
     const bool isAvailable = endpoint.isRegistered && !endpoint.record.isDraining && endpoint.hasListedRuns && endpoint.isInRoster
                              && endpoint.isRecordCurrent() && endpoint.isClockKnown() && now >= endpoint.avoidUntil
                              && endpoint.consecutiveFailures == 0;
-    return isAvailable && (!endpoint.health.isSuspect() || (endpoint.runs.empty() && endpoint.health.isTrialDue(now)));
+    const bool isIsolating = endpoint.isReserved || endpoint.hasIsolatedRun();
+    return isAvailable && !isIsolating && (!endpoint.health.isSuspect() || (endpoint.runs.empty() && endpoint.health.isTrialDue(now)));
 }
 
 PlacementPass &CellLeader::placementPass(TimePoint now, const ServiceName &service)
@@ -433,6 +438,7 @@
         this->dropRun(now, *endpoint, task, "refused");
         break;
     case StartResult::Kind::OtherIncarnation:
+        this->dropRun(now, *endpoint, task, "refused");
         this->dropRuns(now, *endpoint, "another incarnation answered");
         break;
     case StartResult::Kind::NotSent:
@@ -525,7 +531,9 @@
         }
         endpoint->consecutiveFailures = 0;
         endpoint->lastContactAt = now;
+        endpoint->wasLostIsolated = false;
         endpoint->updateClock(now, result.clockMs);
+        this->isCrashRowDirty = this->crashes.onAnswered(name, result.born) || this->isCrashRowDirty;
         endpoint->recordAcknowledgement(endpoint->sentAcknowledgement);
         endpoint->lastListedAt = now;
         this->reconcileRuns(now, *endpoint, result);
@@ -596,6 +604,8 @@
             this->actions.emplace_back(StopRun{endpoint.record.name, endpoint.record.address, order.task, order.run, this->chain.token()});
         }
     }
+    this->recordLoss(now, endpoint, true);
+    this->isCrashRowDirty = this->crashes.onReplaced(endpoint.record.name) || this->isCrashRowDirty;
     std::vector<TaskRef> over;
     for (auto &[task, run] : endpoint.runs) {
         if (std::exchange(run.isListed, false) && !run.mayArriveLate) {
@@ -713,6 +723,7 @@
         const bool isStartKnown = found->second.expectedEnd != TimePoint{} && !found->second.isStartRepeated;
         endpoint.removeRun(now, end.task);
         if (end.outcome == RunOutcome::Done && isKnownTask) {
+            this->isCrashRowDirty = this->crashes.forgetTask(end.task) || this->isCrashRowDirty;
             this->recordRunTime(now, endpoint, took, job->step(end.task), isStartKnown);
             this->serviceRate.recordEnd(estimatedTaskWork(job->step(end.task)));
         } else if (end.outcome == RunOutcome::Failed) {
@@ -811,6 +822,9 @@
                    {"reason", std::string(reason)}},
                   true);
     }
+    const bool isReplaced = reason != LeaseLapsedReason;
+    this->recordLoss(now, endpoint, isReplaced);
+    this->isCrashRowDirty = (isReplaced && this->crashes.onReplaced(endpoint.record.name)) || this->isCrashRowDirty;
     std::vector<TaskRef> tasks;
     for (auto &[task, run] : endpoint.runs) {
         run.mayArriveLate = run.mayArriveLate || run.phase == RunPhase::Starting;
@@ -823,7 +837,9 @@
 
 void CellLeader::recordNoAnswer(TimePoint now, CellEndpoint &endpoint)
 {
-    ++endpoint.consecutiveFailures;
+    if (endpoint.consecutiveFailures++ == 0) {
+        endpoint.unreachableSince = now;
+    }
     endpoint.avoidUntil = now + AvoidAfterNoAnswer;
     endpoint.nextHoldAt = std::min(endpoint.nextHoldAt, now);
 }
--- a/src/cells/cell_endpoint.cpp
+++ b/src/cells/cell_endpoint.cpp
@@ -59,6 +59,7 @@
     this->nextHoldAt = now;
     this->avoidUntil = {};
     this->consecutiveFailures = 0;
+    this->wasLostIsolated = false;
     this->health = {};
     this->speed = {};
     this->clock.reset();
@@ -79,6 +80,11 @@
     return free;
 }
 
+bool CellEndpoint::hasIsolatedRun() const
+{
+    return std::ranges::any_of(this->runs, [](const auto &entry) { return entry.second.isIsolated; });
+}
+
 void CellEndpoint::updateClock(TimePoint now, std::int64_t clockMs)
 {
     if (this->clock && clockMs < this->minClockMs(now)) {
--- a/src/cells/cell_endpoint.h
+++ b/src/cells/cell_endpoint.h
@@ -30,6 +30,7 @@
     bool isStopConfirmed = false; ///< Whether the endpoint confirmed the stop.
     bool isStopInFlight = false; ///< Whether a stop order is in flight.
     bool isStopOutdated = false; ///< Whether the stop order in flight was sent to a former incarnation of the endpoint.
+    bool isIsolated = false; ///< Whether no other run may be placed beside this one.
     bool isListed = false; ///< Whether the present incarnation of the endpoint has listed the run.
     bool isCarriedOver = false; ///< Whether the start was ordered from a former incarnation, so that `startDeadlineMs` refers to its clock.
     bool mayArriveLate = false; ///< Whether an order to start the run may still be under way.
@@ -102,6 +103,9 @@
     EndpointHealth health; ///< Health as judged from the endpoint's runs.
     EndpointSpeed speed; ///< Lasting speed relative to the cell, as learnt from the endpoint's runs.
     std::uint32_t consecutiveFailures = 0; ///< Unanswered calls since the last answer.
+    TimePoint unreachableSince; ///< When the first of these calls failed; valid if there are any.
+    bool wasLostIsolated = false; ///< Whether the endpoint was lost while a run on it excluded others, and has not answered since.
+    bool isReserved = false; ///< Whether the endpoint gets no runs because a task waits to run alone there.
     Resources used; ///< Resources that the runs occupy.
     std::optional<std::int64_t> born; ///< Start of the present incarnation in Unix milliseconds; unset if it isn't known or not reported.
     TimePoint bornSeenAt; ///< When the present incarnation was first seen, if it replaced another one.
@@ -122,6 +126,9 @@
     /** @return Free resources; negative if the endpoint is overcommitted. */
     Resources freeResources() const;
 
+    /** @return Whether a run on the endpoint excludes others. */
+    bool hasIsolatedRun() const;
+
     /** Records a reading of the endpoint's clock from an answer. */
     void updateClock(TimePoint now, std::int64_t clockMs);
 
--- a/src/cells/cell_job.cpp
+++ b/src/cells/cell_job.cpp
@@ -96,6 +96,14 @@
     this->waitingTasks.push_back(ref);
 }
 
+void CellJob::isolate(const TaskRef &ref)
+{
+    TaskRecord &record = this->task(ref);
+    assert(record.phase == TaskPhase::Waiting);
+    std::erase(this->waitingTasks, ref);
+    record.phase = TaskPhase::Isolated;
+}
+
 void CellJob::markDone(const TaskRef &ref)
 {
     TaskRecord &record = this->task(ref);
@@ -171,9 +179,9 @@
 
 bool CellJob::needsStarts() const
 {
-    const auto isBlocked = [](const TaskRecord &task) { return task.phase == TaskPhase::Blocked; };
+    const auto needsStart = [](const TaskRecord &task) { return task.phase == TaskPhase::Blocked || task.phase == TaskPhase::Isolated; };
     return !this->waitingTasks.empty()
-           || std::ranges::any_of(this->tasks, [&](const auto &step) { return std::ranges::any_of(step, isBlocked); });
+           || std::ranges::any_of(this->tasks, [&](const auto &step) { return std::ranges::any_of(step, needsStart); });
 }
 
 JobProgress CellJob::progress() const
--- a/src/cells/cell_job.h
+++ b/src/cells/cell_job.h
@@ -14,6 +14,7 @@
     Blocked, ///< An earlier step isn't done.
     Unaccounted, ///< Not to be started until settled: a former leader may have started it, or its run was lost after the job's end.
     Waiting, ///< The task may be started.
+    Isolated, ///< Endpoints were lost under the task; it may be started on its own only.
     Placed, ///< A run of the task exists on an endpoint, or may exist.
     Done, ///< A run of the task succeeded.
 };
@@ -94,6 +95,9 @@
     /** Marks a task as waiting, at the front of waiting() if this leader has ordered a run of it. @pre It is neither waiting nor done. */
     void makeWaiting(const TaskRef &ref);
 
+    /** Takes a waiting task out of waiting(), as it has to run on its own. @pre The task is waiting. */
+    void isolate(const TaskRef &ref);
+
     /** Marks a task as done, unblocks later steps, and ends the job after its last task. @pre The task is not done. */
     void markDone(const TaskRef &ref);
 
--- a/src/cells/cell_leader.cpp
+++ b/src/cells/cell_leader.cpp
@@ -50,6 +50,7 @@
         this->endpoints.emplace(record.name, std::move(endpoint));
         this->isRosterDirty = true;
     }
+    this->isCrashRowDirty = this->crashes.onRegistry(records) || this->isCrashRowDirty;
     std::erase_if(this->endpoints, [](const auto &entry) {
         const CellEndpoint &endpoint = *entry.second;
         return !endpoint.isRegistered && endpoint.hasListedRuns && endpoint.runs.empty() && !endpoint.isHoldInFlight;
@@ -206,6 +207,10 @@
             this->markProgressDirty(now, *job);
         }
     }
+    for (EndpointLoss &loss : content.losses) {
+        loss.at = now;
+        this->crashes.recordLoss(std::move(loss));
+    }
     for (const EndpointRecord &record : content.roster) {
         this->unlistedEndpoints.insert(record.name);
         auto &endpoint = this->endpoints[record.name];
@@ -220,6 +225,7 @@
                              {"jobs", toText(this->jobs.size())},
                              {"ended", toText(this->ended.size())},
                              {"roster", toText(content.roster.size())},
+                             {"losses", toText(this->crashes.losses().size())},
                              {"endpoints", toText(this->endpoints.size())}});
     this->isRosterDirty = std::ranges::any_of(this->endpoints, [](const auto &entry) { return !entry.second->isInRoster; });
     this->advance(now);
@@ -267,7 +273,7 @@
     }
     for (auto &[name, endpoint] : this->endpoints) {
         if (!endpoint->runs.empty() && endpoint->areLeasesExpired(now)) {
-            this->dropRuns(now, *endpoint, "lease-lapsed");
+            this->dropRuns(now, *endpoint, LeaseLapsedReason);
         }
         for (auto &[task, run] : endpoint->runs) {
             const bool needsStop = run.phase == RunPhase::Stopping || run.phase == RunPhase::Unconfirmed;
--- a/src/cells/cell_leader.h
+++ b/src/cells/cell_leader.h
@@ -6,6 +6,7 @@
 #include "cells/cell_evacuation.h"
 #include "cells/cell_job.h"
 #include "cells/commit_chain.h"
+#include "cells/crash_history.h"
 #include "cells/placement.h"
 #include "cells/service_rate.h"
 
@@ -16,6 +17,9 @@
 
 namespace Tanagertally::Cells {
 
+/** Why runs are given up: the endpoint did not answer while their leases lasted. */
+inline constexpr std::string_view LeaseLapsedReason = "lease-lapsed";
+
 /** Configuration of a cell leader. */
 struct CellLeaderOptions {
     CellName cell;
@@ -144,6 +148,7 @@
         std::unordered_map<EndpointName, std::uint64_t>
             lastListedEnds; ///< By endpoint: highest number of the ends that the stored progress covers.
         std::vector<EndpointName> roster; ///< Endpoints of the roster that it stores.
+        bool storesCrashes = false; ///< Whether it stores `crashes`.
         std::vector<JobId> removedJobs; ///< Ended jobs whose rows it removes.
         bool releasesLead = false; ///< Whether it releases the lead.
     };
@@ -188,6 +193,17 @@
                 std::string_view cause = {});
     void refuseOverloaded(TimePoint now, CallId call, const CellJob &job, std::string_view cause);
 
+    // cell_isolation.cpp: tasks under which endpoints were lost.
+    std::size_t countLossesAround(TimePoint time) const;
+    std::vector<TaskRef> unfinishedTasksOn(const CellEndpoint &endpoint, bool isReplaced) const;
+    void recordLoss(TimePoint now, CellEndpoint &endpoint, bool isReplaced);
+    void isolateSuspects(TimePoint now, CellJob &job);
+    std::size_t isolationRoom() const; ///< Number of endpoints that further isolated tasks may take.
+    void startIsolatedTasks(TimePoint now);
+    CellEndpoint *chooseForIsolation(TimePoint now, const CellJob &job, const TaskRef &task);
+    void failDeadlyJob(TimePoint now, const std::shared_ptr<CellJob> &job, const TaskRef &task);
+    void forgetCrashes(const CellJob &job);
+
     // cell_evacuation.cpp: evacuation of the cell.
     bool areStartsOver(TimePoint now) const;
     bool canStartTasksOf(TimePoint now, const CellJob &job) const;
@@ -200,6 +216,7 @@
     void addSubmissions(StoreTransaction &transaction);
     void addProgress(StoreTransaction &transaction);
     void addRoster(StoreTransaction &transaction);
+    void addCrashes(TimePoint now, StoreTransaction &transaction);
     void addRemovals(TimePoint now, StoreTransaction &transaction);
     bool isCommitDue(TimePoint now) const;
     void markProgressDirty(TimePoint now, CellJob &job);
@@ -286,6 +303,11 @@
         = 0; ///< Lower bound of the demands of the tasks that are next in `readyJobs`, in thousandths of a core.
     TimePoint lastCutPassLoggedAt; ///< When a pass that left waiting jobs unexamined was last logged.
     std::set<JobRank> readyJobs; ///< Ranks of the jobs with waiting tasks; unrelated to the configured queues.
+    CrashHistory crashes; ///< Endpoints that were lost while tasks ran on them.
+    std::deque<TaskRef> isolatedTasks; ///< Tasks of phase Isolated, oldest first; tasks that have left the phase are removed lazily.
+    bool hasReservations = false; ///< Whether an endpoint is reserved for an isolated task.
+    bool isCrashRowUrgent = false; ///< Whether a loss isn't stored yet; isolated tasks wait for that.
+    bool isCrashRowDirty = false; ///< Whether the stored crashes are out of date.
     std::optional<CellEvacuation> evacuation; ///< Set while the cell is evacuated.
     bool isReleaseRequested = false; ///< Whether the lead is to be released.
 };
--- a/src/cells/cell_leader_jobs.cpp
+++ b/src/cells/cell_leader_jobs.cpp
@@ -320,6 +320,7 @@
         this->serviceRate.recordJob(now - *job->firstStartAt, job->urgency.remaining);
     }
     this->logJobEnd(now, *job);
+    this->forgetCrashes(*job);
     this->removeFromReadyJobs(*job);
     this->jobs.erase(job->id);
 }
@@ -450,6 +451,7 @@
         }
         this->cancelCalls.erase(calls);
     }
+    this->forgetCrashes(*job);
     this->removeFromReadyJobs(*job);
     this->jobs.erase(id);
 }
--- a/src/cells/cell_leader_store.cpp
+++ b/src/cells/cell_leader_store.cpp
@@ -111,12 +111,14 @@
         }
     }
     this->isRosterDirty = this->isRosterDirty || !rejected.roster.empty();
+    this->isCrashRowUrgent = this->isCrashRowUrgent || rejected.storesCrashes;
     this->flush(now);
 }
 
 bool CellLeader::isCommitDue(TimePoint now) const
 {
-    if (this->isReleaseRequested || !this->pendingSubmissions.empty() || this->hasUrgentProgress || this->isRosterDirty) {
+    if (this->isReleaseRequested || !this->pendingSubmissions.empty() || this->hasUrgentProgress || this->isRosterDirty
+        || this->isCrashRowUrgent) {
         return true;
     }
     if (!this->dirtyJobs.empty() && now >= this->dirtySince + ProgressDelay) {
@@ -134,6 +136,7 @@
     this->addSubmissions(transaction);
     this->addProgress(transaction);
     this->addRoster(transaction);
+    this->addCrashes(now, transaction);
     this->addRemovals(now, transaction);
     this->batch.releasesLead = this->isReleaseRequested && this->pendingSubmissions.empty() && this->dirtyJobs.empty();
     this->lastCommitAt = now;
@@ -211,6 +214,18 @@
     transaction.writes.push_back({rosterKey(this->options.cell), encodeRoster(roster)});
 }
 
+void CellLeader::addCrashes(TimePoint now, StoreTransaction &transaction)
+{
+    this->isCrashRowDirty = this->crashes.forgetOld(now) || this->isCrashRowDirty;
+    if (!this->isCrashRowDirty && !this->isCrashRowUrgent) {
+        return;
+    }
+    this->isCrashRowDirty = false;
+    this->isCrashRowUrgent = false;
+    this->batch.storesCrashes = true;
+    transaction.writes.push_back({lossesKey(this->options.cell), encodeLosses(this->crashes.losses())});
+}
+
 void CellLeader::markProgressDirty(TimePoint now, CellJob &job)
 {
     assert(!job.spec.isBestEffort);
--- /dev/null
+++ b/src/cells/crash_history.cpp
@@ -0,0 +1,196 @@
+#include "cells/crash_history.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace Tanagertally::Cells {
+
+namespace {
+
+constexpr std::size_t CrashesUntilDeadly = 2; // Callers accept that a task under which two endpoints have crashed is given up.
+constexpr std::size_t MaxLosses = 5; // Of one task, confirmed or not; a task must not crash more endpoints.
+constexpr Duration EvidenceTimeout = std::chrono::seconds(8); // Crashed endpoints are back after some seconds.
+constexpr Duration LossRetention = std::chrono::seconds(120); // Callers ask for the state of a job for as long.
+constexpr std::size_t MaxRememberedLosses = 256; // Bounds the memory and the stored row.
+constexpr std::size_t MinCommonLosses = 4; // So many tasks rarely crash endpoints of one cell within a moment.
+constexpr std::size_t CommonLossDivisor = 5; // Share of the cell's endpoints that deadly tasks rarely crash within a moment.
+
+bool isReplacedBy(const EndpointLoss &loss, const EndpointRecord &record)
+{
+    if (record.name == loss.endpoint) {
+        return record.born && loss.born && *record.born > *loss.born;
+    }
+    return record.address == loss.address;
+}
+
+} // namespace
+
+bool hasCommonCause(std::size_t lostAtOnce, std::size_t endpointCount)
+{
+    return lostAtOnce >= MinCommonLosses && lostAtOnce * CommonLossDivisor >= endpointCount;
+}
+
+void CrashHistory::recordLoss(EndpointLoss loss)
+{
+    assert(!loss.tasks.empty());
+    for (const TaskRef &task : loss.tasks) {
+        ++this->jobs[task.job];
+    }
+    this->lossList.push_back(std::move(loss));
+    if (this->lossList.size() > MaxRememberedLosses) {
+        this->eraseLoss(0);
+    }
+}
+
+bool CrashHistory::onRegistry(std::span<const EndpointRecord> records)
+{
+    bool isChanged = false;
+    for (EndpointLoss &loss : this->lossList) {
+        const auto replaces = [&loss](const EndpointRecord &record) { return isReplacedBy(loss, record); };
+        if (loss.state == LossState::Unconfirmed && std::ranges::any_of(records, replaces)) {
+            loss.state = LossState::Crashed;
+            isChanged = true;
+        }
+    }
+    return isChanged;
+}
+
+bool CrashHistory::onReplaced(const EndpointName &endpoint)
+{
+    bool isChanged = false;
+    for (EndpointLoss &loss : this->lossList) {
+        if (loss.endpoint == endpoint && loss.state == LossState::Unconfirmed) {
+            loss.state = LossState::Crashed;
+            isChanged = true;
+        }
+    }
+    return isChanged;
+}
+
+bool CrashHistory::onAnswered(const EndpointName &endpoint, const std::optional<std::int64_t> &born)
+{
+    const std::size_t before = this->lossList.size();
+    for (std::size_t index = this->lossList.size(); index-- > 0;) {
+        EndpointLoss &loss = this->lossList[index];
+        if (loss.endpoint != endpoint || loss.state != LossState::Unconfirmed) {
+            continue;
+        }
+        if (born == loss.born) {
+            this->eraseLoss(index);
+        }
+    }
+    return this->lossList.size() != before;
+}
+
+CrashVerdict CrashHistory::verdict(const TaskRef &task, TimePoint now) const
+{
+    if (!this->concerns(task.job)) {
+        return CrashVerdict::None;
+    }
+    std::size_t losses = 0;
+    std::size_t crashes = 0;
+    bool hasLostAlone = false;
+    bool hasCrashedAlone = false;
+    bool isEvidenceDue = false;
+    for (const EndpointLoss &loss : this->lossList) {
+        if (std::ranges::find(loss.tasks, task) == loss.tasks.end()) {
+            continue;
+        }
+        const bool isCrashed = loss.state == LossState::Crashed;
+        ++losses;
+        crashes += isCrashed ? 1 : 0;
+        hasLostAlone = hasLostAlone || loss.wasAlone;
+        hasCrashedAlone = hasCrashedAlone || (isCrashed && loss.wasAlone);
+        isEvidenceDue = isEvidenceDue || (!isCrashed && now < loss.at + EvidenceTimeout);
+    }
+    if (losses == 0) {
+        return CrashVerdict::None;
+    }
+    if (losses >= MaxLosses || (crashes >= CrashesUntilDeadly && hasCrashedAlone)) {
+        return CrashVerdict::Deadly;
+    }
+    const bool mayBeDeadly = losses >= CrashesUntilDeadly && hasLostAlone;
+    return mayBeDeadly && isEvidenceDue ? CrashVerdict::AwaitEvidence : CrashVerdict::RunAlone;
+}
+
+bool CrashHistory::concerns(const JobId &job) const
+{
+    return this->jobs.contains(job);
+}
+
+bool CrashHistory::hasLossAt(const NetAddress &address) const
+{
+    return std::ranges::find(this->lossList, address, &EndpointLoss::address) != this->lossList.end();
+}
+
+std::string CrashHistory::endpointsLostUnder(const TaskRef &task) const
+{
+    std::string names;
+    for (const EndpointLoss &loss : this->lossList) {
+        if (std::ranges::find(loss.tasks, task) != loss.tasks.end()) {
+            names += (names.empty() ? "" : ",") + loss.endpoint.value;
+        }
+    }
+    return names;
+}
+
+bool CrashHistory::forgetTask(const TaskRef &task)
+{
+    return this->concerns(task.job) && this->forgetTasks([&task](const TaskRef &other) { return other == task; });
+}
+
+bool CrashHistory::forgetJob(const JobId &job)
+{
+    return this->concerns(job) && this->forgetTasks([&job](const TaskRef &other) { return other.job == job; });
+}
+
+bool CrashHistory::forgetOld(TimePoint now)
+{
+    const std::size_t before = this->lossList.size();
+    while (!this->lossList.empty() && this->lossList.front().at + LossRetention < now) {
+        this->eraseLoss(0);
+    }
+    return this->lossList.size() != before;
+}
+
+const std::vector<EndpointLoss> &CrashHistory::losses() const
+{
+    return this->lossList;
+}
+
+void CrashHistory::eraseLoss(std::size_t index)
+{
+    for (const TaskRef &task : this->lossList[index].tasks) {
+        this->removeTask(task);
+    }
+    this->lossList.erase(this->lossList.begin() + static_cast<std::ptrdiff_t>(index));
+}
+
+void CrashHistory::removeTask(const TaskRef &task)
+{
+    const auto found = this->jobs.find(task.job);
+    assert(found != this->jobs.end());
+    if (--found->second == 0) {
+        this->jobs.erase(found);
+    }
+}
+
+template<typename Predicate>
+bool CrashHistory::forgetTasks(Predicate matches)
+{
+    bool isChanged = false;
+    for (EndpointLoss &loss : this->lossList) {
+        std::erase_if(loss.tasks, [&](const TaskRef &task) {
+            if (!matches(task)) {
+                return false;
+            }
+            this->removeTask(task);
+            isChanged = true;
+            return true;
+        });
+    }
+    std::erase_if(this->lossList, [](const EndpointLoss &loss) { return loss.tasks.empty(); });
+    return isChanged;
+}
+
+} // namespace Tanagertally::Cells
--- /dev/null
+++ b/src/cells/crash_history.h
@@ -0,0 +1,101 @@
+/**
+ * Attribution of endpoint crashes to the tasks that ran there, and what follows for those tasks; without network.
+ *
+ * Pattern: deadly tasks. A task may crash each endpoint that starts it. If its lost run is repeated like any other, it takes down one
+ * endpoint after the other; a few dozen such tasks crash a fleet faster than its endpoints restart. The tasks beside it lose their runs as
+ * well and look the same at first. After its first loss a task runs alone on an endpoint: the next crash is then its own, and takes no
+ * other task along.
+ */
+#pragma once
+
+#include "cells/fleet_type.h"
+
+#include <cstddef>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace Tanagertally::Cells {
+
+/** What is known of a lost endpoint. */
+enum class LossState : std::uint8_t {
+    Unconfirmed, ///< It doesn't answer; it may have crashed or be cut off.
+    Crashed, ///< Another incarnation has replaced it.
+};
+
+/** An endpoint that was lost while tasks ran on it. */
+struct EndpointLoss {
+    EndpointName endpoint;
+    NetAddress address;
+    std::optional<std::int64_t> born; ///< Start of the lost incarnation in Unix milliseconds; unset if incarnations differ in their names.
+    LossState state = LossState::Unconfirmed;
+    bool wasAlone = false; ///< Whether a single task ran on the endpoint.
+    std::vector<TaskRef> tasks; ///< Tasks that lost a run and have not succeeded since.
+    TimePoint at; ///< When the loss was noticed, on this process's clock.
+};
+
+/** What follows for a task from the endpoints that were lost under it. */
+enum class CrashVerdict : std::uint8_t {
+    None, ///< The task may run beside others.
+    RunAlone, ///< The task may run on an endpoint without other runs only.
+    AwaitEvidence, ///< The task must not start until it is known whether the endpoints crashed.
+    Deadly, ///< The task must not start again; its job fails.
+};
+
+/** @return Whether so many endpoints were lost at the same time that something other than a task lost them. Thread safety: any thread. */
+bool hasCommonCause(std::size_t lostAtOnce, std::size_t endpointCount);
+
+/** Endpoints of a cell that were lost lately, and the tasks under suspicion. Thread safety: none. */
+class CrashHistory
+{
+public:
+    /** Records a loss; the oldest one is forgotten if there are too many. @pre `loss.tasks` is not empty. */
+    void recordLoss(EndpointLoss loss);
+
+    /** Confirms the losses of endpoints that the registry shows as replaced. @return Whether a loss was confirmed. */
+    bool onRegistry(std::span<const EndpointRecord> records);
+
+    /** Confirms the losses of an endpoint at whose address another incarnation answered. @return Whether a loss was confirmed. */
+    bool onReplaced(const EndpointName &endpoint);
+
+    /**
+     * Forgets the unconfirmed losses of an endpoint that answers again.
+     * @param born Start of the incarnation that answered; unset if it isn't reported.
+     * @return Whether a loss was forgotten.
+     */
+    bool onAnswered(const EndpointName &endpoint, const std::optional<std::int64_t> &born);
+
+    /** @return What follows for a task. */
+    CrashVerdict verdict(const TaskRef &task, TimePoint now) const;
+
+    /** @return Whether a task of a job was lost with an endpoint. */
+    bool concerns(const JobId &job) const;
+
+    /** @return Whether an endpoint at an address was lost. */
+    bool hasLossAt(const NetAddress &address) const;
+
+    /** @return Names of the endpoints that were lost under a task, separated by commas. */
+    std::string endpointsLostUnder(const TaskRef &task) const;
+
+    /** Forget a task that has succeeded, or all tasks of a job. @return Whether anything was known. */
+    bool forgetTask(const TaskRef &task);
+    bool forgetJob(const JobId &job);
+
+    /** Forgets losses that are too old to matter. @return Whether there were any. */
+    bool forgetOld(TimePoint now);
+
+    /** @return All losses, oldest first. */
+    const std::vector<EndpointLoss> &losses() const;
+
+private:
+    void eraseLoss(std::size_t index);
+    void removeTask(const TaskRef &task);
+    template<typename Predicate>
+    bool forgetTasks(Predicate matches);
+
+    std::vector<EndpointLoss> lossList; ///< Oldest first; bounded.
+    std::unordered_map<JobId, std::uint32_t> jobs; ///< Number of times that tasks of a job occur in `lossList`.
+};
+
+} // namespace Tanagertally::Cells
--- a/src/cells/store_rows.cpp
+++ b/src/cells/store_rows.cpp
@@ -53,6 +53,11 @@
     return {std::string(CellsTable), cell.value, "roster"};
 }
 
+RowKey lossesKey(const CellName &cell)
+{
+    return {std::string(CellsTable), cell.value, "losses"};
+}
+
 RowKey jobKey(const CellName &cell, const JobId &job)
 {
     return {std::string(JobsTable), cell.value, job.value};
@@ -150,6 +155,43 @@
     });
 }
 
+std::string encodeLosses(std::span<const EndpointLoss> losses)
+{
+    Json rows = Json::array();
+    for (const EndpointLoss &loss : losses) {
+        Json tasks = Json::array();
+        for (const TaskRef &task : loss.tasks) {
+            tasks.push_back({task.job.value, task.step, task.index});
+        }
+        rows.push_back({loss.endpoint.value, loss.address.value, loss.born ? Json(*loss.born) : Json(), loss.state == LossState::Crashed,
+                        loss.wasAlone, std::move(tasks)});
+    }
+    return toCborText(rows);
+}
+
+Result<std::vector<EndpointLoss>> decodeLosses(std::string_view value)
+{
+    return decodeRow(value, "losses", [](const Json &json) {
+        std::vector<EndpointLoss> losses;
+        for (const Json &row : json) {
+            EndpointLoss loss;
+            loss.endpoint = EndpointName(row.at(0).get<std::string>());
+            loss.address = NetAddress(row.at(1).get<std::string>());
+            loss.born = row.at(2).is_null() ? std::nullopt : std::optional(row.at(2).get<std::int64_t>());
+            loss.state = row.at(3).get<bool>() ? LossState::Crashed : LossState::Unconfirmed;
+            loss.wasAlone = row.at(4).get<bool>();
+            for (const Json &task : row.at(5)) {
+                loss.tasks.push_back(
+                    {JobId(task.at(0).get<std::string>()), task.at(1).get<std::uint32_t>(), task.at(2).get<std::uint32_t>()});
+            }
+            if (!loss.tasks.empty()) {
+                losses.push_back(std::move(loss));
+            }
+        }
+        return losses;
+    });
+}
+
 std::string encodeCellCount(std::uint32_t count)
 {
     return toCborText(Json::array({count}));
--- a/src/cells/store_rows.h
+++ b/src/cells/store_rows.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "cells/cell_job.h"
+#include "cells/crash_history.h"
 #include "cells/fleet_type.h"
 #include "cells/store_type.h"
 #include "core/result_type.h"
@@ -36,10 +37,11 @@
     std::vector<StoredJob> jobs; ///< Jobs that have not ended.
     std::vector<StoredProgress> progress; ///< Progress of these jobs, and final states of ended ones.
     std::vector<EndpointRecord> roster; ///< Endpoints that a leader may have used.
+    std::vector<EndpointLoss> losses; ///< Endpoints that were lost while tasks ran on them; `at` is not stored.
 };
 
 inline constexpr std::string_view InstancesTable = "instances"; ///< One row for each instance, all in the empty partition.
-inline constexpr std::string_view CellsTable = "cells"; ///< Lead and roster, in the partition of their cell.
+inline constexpr std::string_view CellsTable = "cells"; ///< Lead, roster and losses, in the partition of their cell.
 inline constexpr std::string_view LayoutsTable = "layouts"; ///< Number of cells of each failure domain, all in the empty partition.
 inline constexpr std::string_view JobsTable = "jobs"; ///< Jobs that have not ended, in the partition of their cell.
 inline constexpr std::string_view ProgressTable = "progress"; ///< Progress and final states, in the partition of their cell.
@@ -49,6 +51,8 @@
 RowKey leadKey(const CellName &cell);
 /** @return Key of the row that lists the endpoints that leaders of a cell may have used. */
 RowKey rosterKey(const CellName &cell);
+/** @return Key of the row that lists the endpoints that a cell has lost, and the tasks that ran there. */
+RowKey lossesKey(const CellName &cell);
 /** @return Key of the row of a job. */
 RowKey jobKey(const CellName &cell, const JobId &job);
 /** @return Key of the row of a job's progress. */
@@ -77,6 +81,10 @@
 /** @return The endpoints, or BadInput for a malformed value. */
 Result<std::vector<EndpointRecord>> decodeRoster(std::string_view value);
 /** @return Row value. */
+std::string encodeLosses(std::span<const EndpointLoss> losses);
+/** @return The losses, or BadInput for a malformed value. */
+Result<std::vector<EndpointLoss>> decodeLosses(std::string_view value);
+/** @return Row value. */
 std::string encodeCellCount(std::uint32_t count);
 /** @return The number of cells, or BadInput for a malformed value. */
 Result<std::uint32_t> decodeCellCount(std::string_view value);
--- a/src/cells/tests/cell_world.cpp
+++ b/src/cells/tests/cell_world.cpp
@@ -286,6 +286,8 @@
     for (const Row &row : this->store.read({std::string(CellsTable), cell.value, "", 0}).rows) {
         if (row.key == rosterKey(cell)) {
             content.roster = decodeRoster(row.value).value();
+        } else if (row.key == lossesKey(cell)) {
+            content.losses = decodeLosses(row.value).value();
         }
     }
     for (const Row &row : this->store.read({std::string(ProgressTable), cell.value, "", 0}).rows) {
--- /dev/null
+++ b/src/cells/tests/crash_history_test.cpp
@@ -0,0 +1,183 @@
+// What the losses of endpoints tell of the tasks that ran there, decided without a network.
+#include "cells/crash_history.h"
+#include "cells/store_rows.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Tanagertally;
+using namespace Tanagertally::Cells;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint Start(100s);
+const TaskRef Task{JobId("00000000000000a1"), 0, 0};
+const TaskRef Neighbour{JobId("00000000000000a2"), 0, 3};
+
+EndpointLoss lossOf(int number, std::vector<TaskRef> tasks, TimePoint at = Start)
+{
+    EndpointLoss loss;
+    loss.endpoint = EndpointName("e" + std::to_string(number));
+    loss.address = NetAddress("10.0.0." + std::to_string(number) + ":1");
+    loss.wasAlone = tasks.size() == 1;
+    loss.tasks = std::move(tasks);
+    loss.at = at;
+    return loss;
+}
+
+/** @return Registration of another incarnation at the address of a lost endpoint. */
+EndpointRecord replacementOf(const EndpointLoss &loss)
+{
+    EndpointRecord record;
+    record.name = EndpointName(loss.endpoint.value + "-next");
+    record.address = loss.address;
+    return record;
+}
+
+struct History {
+    CrashHistory history;
+
+    void crash(int number, std::vector<TaskRef> tasks)
+    {
+        const EndpointLoss loss = lossOf(number, std::move(tasks));
+        this->history.recordLoss(loss);
+        const std::vector<EndpointRecord> records{replacementOf(loss)};
+        BOOST_TEST(this->history.onRegistry(records));
+    }
+
+    bool hasVerdict(const TaskRef &task, CrashVerdict expected, TimePoint now = Start) const
+    {
+        return this->history.verdict(task, now) == expected;
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(CrashHistories, History)
+
+BOOST_AUTO_TEST_CASE(TasksOfALostEndpointRunAlone)
+{
+    this->history.recordLoss(lossOf(1, {Task, Neighbour}));
+    BOOST_TEST(this->hasVerdict(Task, CrashVerdict::RunAlone));
+    BOOST_TEST(this->hasVerdict(Neighbour, CrashVerdict::RunAlone));
+    BOOST_TEST(this->hasVerdict({JobId("00000000000000a3"), 0, 0}, CrashVerdict::None));
+    BOOST_TEST(this->hasVerdict({Task.job, 0, 1}, CrashVerdict::None));
+}
+
+BOOST_AUTO_TEST_CASE(SharedCrashesAloneDoNotMakeATaskDeadly)
+{
+    this->crash(1, {Task, Neighbour});
+    this->crash(2, {Task, Neighbour});
+    BOOST_TEST(this->hasVerdict(Task, CrashVerdict::RunAlone));
+    this->crash(3, {Task});
+    BOOST_TEST(this->hasVerdict(Task, CrashVerdict::Deadly));
+    BOOST_TEST(this->hasVerdict(Neighbour, CrashVerdict::RunAlone));
+}
+
+BOOST_AUTO_TEST_CASE(OneCrashIsNotEnough)
+{
+    this->crash(1, {Task});
+    BOOST_TEST(this->hasVerdict(Task, CrashVerdict::RunAlone));
+}
+
+BOOST_AUTO_TEST_CASE(SecondLossAwaitsEvidenceForALimitedTime)
+{
+    this->history.recordLoss(lossOf(1, {Task, Neighbour}));
+    this->history.recordLoss(lossOf(2, {Task}));
+    BOOST_TEST(this->hasVerdict(Task, CrashVerdict::AwaitEvidence, Start + 3s));
+    BOOST_TEST(this->hasVerdict(Task, CrashVerdict::RunAlone, Start + 20s));
+}
+
+BOOST_AUTO_TEST_CASE(EndpointThatAnswersAgainDidNotCrash)
+{
+    this->history.recordLoss(lossOf(1, {Task}));
+    this->history.recordLoss(lossOf(2, {Task}));
+    BOOST_TEST(this->history.onAnswered(EndpointName("e1"), std::nullopt));
+    BOOST_TEST(this->hasVerdict(Task, CrashVerdict::RunAlone));
+    BOOST_TEST(this->history.onAnswered(EndpointName("e2"), std::nullopt));
+    BOOST_TEST(this->hasVerdict(Task, CrashVerdict::None));
+    BOOST_TEST(!this->history.concerns(Task.job));
+}
+
+BOOST_AUTO_TEST_CASE(ConfirmedCrashIsNotTakenBack)
+{
+    this->crash(1, {Task});
+    BOOST_TEST(!this->history.onAnswered(EndpointName("e1"), std::nullopt));
+    BOOST_TEST(this->hasVerdict(Task, CrashVerdict::RunAlone));
+}
+
+BOOST_AUTO_TEST_CASE(IncarnationsUnderOneNameAreToldApartByTheirBirth)
+{
+    EndpointLoss loss = lossOf(1, {Task});
+    loss.born = 1000;
+    this->history.recordLoss(loss);
+    EndpointRecord record = replacementOf(loss);
+    record.name = loss.endpoint;
+    record.born = 1000;
+    BOOST_TEST(!this->history.onRegistry(std::vector<EndpointRecord>{record}));
+    record.born = 2000;
+    BOOST_TEST(this->history.onRegistry(std::vector<EndpointRecord>{record}));
+    BOOST_TEST(!this->history.onAnswered(loss.endpoint, 2000));
+    BOOST_TEST(this->hasVerdict(Task, CrashVerdict::RunAlone));
+}
+
+BOOST_AUTO_TEST_CASE(TaskIsGivenUpAfterFiveLossesWithoutEvidence)
+{
+    for (int number = 1; number <= 4; ++number) {
+        this->history.recordLoss(lossOf(number, {Task}));
+    }
+    BOOST_TEST(this->hasVerdict(Task, CrashVerdict::RunAlone, Start + 20s));
+    this->history.recordLoss(lossOf(5, {Task}));
+    BOOST_TEST(this->hasVerdict(Task, CrashVerdict::Deadly, Start + 20s));
+}
+
+BOOST_AUTO_TEST_CASE(SuccessClearsATaskAndNotItsNeighbour)
+{
+    this->crash(1, {Task, Neighbour});
+    BOOST_TEST(this->history.forgetTask(Neighbour));
+    BOOST_TEST(!this->history.forgetTask(Neighbour));
+    BOOST_TEST(this->hasVerdict(Neighbour, CrashVerdict::None));
+    BOOST_TEST(this->hasVerdict(Task, CrashVerdict::RunAlone));
+    BOOST_TEST(this->history.forgetJob(Task.job));
+    BOOST_TEST(this->history.losses().empty());
+}
+
+BOOST_AUTO_TEST_CASE(HistoryIsBoundedInSizeAndTime)
+{
+    for (int number = 0; number < 1000; ++number) {
+        this->history.recordLoss(lossOf(number, {{JobId(std::to_string(number)), 0, 0}}));
+    }
+    BOOST_TEST(this->history.losses().size() == 256U);
+    BOOST_TEST(!this->history.concerns(JobId("0")));
+    BOOST_TEST(this->history.forgetOld(Start + 200s));
+    BOOST_TEST(this->history.losses().empty());
+    BOOST_TEST(!this->history.concerns(JobId("999")));
+}
+
+BOOST_AUTO_TEST_CASE(ManyLossesAtOnceHaveACommonCause)
+{
+    BOOST_TEST(!hasCommonCause(3, 4));
+    BOOST_TEST(hasCommonCause(4, 16));
+    BOOST_TEST(!hasCommonCause(4, 44));
+    BOOST_TEST(hasCommonCause(9, 44));
+}
+
+BOOST_AUTO_TEST_CASE(StoredLossesAreReadAsWritten)
+{
+    EndpointLoss reborn = lossOf(2, {Task});
+    reborn.born = 1234567890123;
+    reborn.state = LossState::Crashed;
+    const std::vector<EndpointLoss> losses{lossOf(1, {Task, Neighbour}), reborn};
+    const auto read = decodeLosses(encodeLosses(losses));
+    BOOST_TEST_REQUIRE(!read.has_error());
+    BOOST_TEST_REQUIRE(read.value().size() == 2U);
+    BOOST_TEST((read.value()[0].tasks == losses[0].tasks));
+    BOOST_TEST((read.value()[0].state == LossState::Unconfirmed));
+    BOOST_TEST(!read.value()[0].wasAlone);
+    BOOST_TEST((read.value()[1].born == reborn.born));
+    BOOST_TEST((read.value()[1].state == LossState::Crashed));
+    BOOST_TEST(read.value()[1].wasAlone);
+    BOOST_TEST(decodeLosses("no losses").has_error());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/cells/tests/deadly_test.cpp
@@ -0,0 +1,271 @@
+// Tasks that crash each endpoint that starts them: the fleet outlasts them, and the tasks beside them end as if they were not there.
+#include "cells/tests/cell_world.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Tanagertally;
+using namespace Tanagertally::Cells;
+using namespace Tanagertally::Cells::Test;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration Downtime = 3200ms; // From a crash until the next incarnation registers.
+constexpr std::size_t AllowedStarts = 5; // The platform's bound: three crashes, and two starts more.
+
+JobId jobNumber(std::size_t number)
+{
+    const std::string digits = std::to_string(number);
+    return JobId(std::string(16 - digits.size(), '0') + digits);
+}
+
+const JobId DeadlyJob = jobNumber(1);
+const TaskRef DeadlyTask{DeadlyJob, 0, 0};
+
+/** A cell whose endpoints crash whenever they run one of the deadly tasks. */
+template<std::size_t EndpointCount>
+struct DeadlyCell {
+    CellWorld world{EndpointCount};
+    std::set<TaskRef> deadly; ///< Tasks that crash their endpoints.
+    std::size_t crashes = 0; ///< Number of crashes so far.
+    std::size_t leader = 0; ///< The leader that hears of new incarnations.
+
+    DeadlyCell()
+    {
+        this->world.endpoints.reserve(EndpointCount + 256); // Orders in flight refer to endpoints.
+        this->leader = this->world.addLeader();
+        this->world.onTick = [this] { this->crashEndpoints(); };
+        this->world.advanceTime(100ms);
+    }
+
+    void crashEndpoints()
+    {
+        for (std::size_t number = 0; number < this->world.endpoints.size(); ++number) {
+            const EndpointModel &endpoint = this->world.endpoints[number];
+            const auto isDeadly = [this](const ModelRun &run) { return this->deadly.contains(run.task); };
+            if (endpoint.isUp && std::ranges::any_of(endpoint.runs, isDeadly)) {
+                this->crash(number);
+            }
+        }
+    }
+
+    /** Crashes an endpoint; another incarnation registers at its address after a while. */
+    void crash(std::size_t number)
+    {
+        ++this->crashes;
+        EndpointModel next = this->world.endpoints[number];
+        this->world.endpoints[number].isUp = false;
+        this->world.endpoints[number].isReachable = false;
+        next.beginIncarnation(EndpointName("r" + std::to_string(this->crashes)));
+        this->world.schedule(this->world.now + Downtime, [this, next] {
+            this->world.endpoints.push_back(next);
+            this->world.registerEndpoints(this->leader);
+        });
+    }
+
+    bool reaches(const JobId &job, JobState state, Duration limit)
+    {
+        return this->world.advanceUntil([&] { return this->world.shows(this->leader, job, state); }, limit);
+    }
+
+    /** Submits jobs each 50 ms for a while. @return Their names. */
+    std::vector<JobId> submitHealthyJobs(std::size_t first, Duration duration, bool isBestEffort = false)
+    {
+        std::vector<JobId> jobs;
+        for (const TimePoint end = this->world.now + duration; this->world.now < end; this->world.advanceTime(50ms)) {
+            jobs.push_back(jobNumber(first + jobs.size()));
+            this->world.submit(this->leader, jobs.back(), 2, isBestEffort);
+        }
+        return jobs;
+    }
+
+    /** Replaces the leader, whose process is killed. */
+    void replaceLeader()
+    {
+        this->world.leaders[this->leader].isUp = false;
+        this->leader = this->world.addLeader();
+    }
+};
+
+using SmallCell = DeadlyCell<8>;
+using LargeCell = DeadlyCell<16>;
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Deadly)
+
+// Guards against a task that takes down one endpoint after the other because its lost runs are repeated like any other.
+BOOST_FIXTURE_TEST_CASE(DeadlyTaskIsGivenUpAfterItsSecondCrash, SmallCell)
+{
+    this->deadly = {DeadlyTask};
+    this->world.submit(this->leader, DeadlyJob, 1);
+    BOOST_TEST(this->reaches(DeadlyJob, JobState::Failed, 10s));
+    BOOST_TEST(this->crashes == 2U);
+    this->world.advanceTime(10s);
+    BOOST_TEST(this->world.startsOf(DeadlyTask) == 2U);
+    BOOST_TEST(this->world.violations.empty());
+}
+
+// Guards against tasks that are blamed for the crash of the endpoint that they shared with a deadly one.
+BOOST_FIXTURE_TEST_CASE(HealthyTasksBesideADeadlyOneEndAsDone, LargeCell)
+{
+    this->world.workTime = 300ms;
+    for (std::size_t number = 1; number <= 12; number += 4) {
+        this->deadly.insert({jobNumber(number), 0, 0});
+    }
+    for (std::size_t number = 1; number <= 12; ++number) {
+        this->world.submit(this->leader, jobNumber(number), 1);
+        this->world.advanceTime(150ms);
+    }
+    for (std::size_t number = 1; number <= 12; ++number) {
+        const bool isDeadly = this->deadly.contains({jobNumber(number), 0, 0});
+        BOOST_TEST(this->reaches(jobNumber(number), isDeadly ? JobState::Failed : JobState::Done, 12s));
+    }
+    BOOST_TEST(this->crashes <= 3 * this->deadly.size());
+    BOOST_TEST(this->world.violations.empty());
+}
+
+// Guards against jobs that wait although there is room, because the runs of deadly tasks are repeated before they start.
+BOOST_FIXTURE_TEST_CASE(JobsBehindDeadlyTasksAreServedMeanwhile, LargeCell)
+{
+    for (std::size_t number = 1; number <= 6; ++number) {
+        this->deadly.insert({jobNumber(number), 0, 0});
+        this->world.submit(this->leader, jobNumber(number), 1);
+    }
+    const std::vector<JobId> healthy = this->submitHealthyJobs(100, 10s);
+    this->world.advanceTime(5s);
+    for (const JobId &job : healthy) {
+        BOOST_TEST(this->world.shows(this->leader, job, JobState::Done));
+    }
+    for (const TaskRef &task : this->deadly) {
+        BOOST_TEST(this->world.shows(this->leader, task.job, JobState::Failed));
+        BOOST_TEST(this->world.startsOf(task) <= 3U);
+    }
+    BOOST_TEST(this->world.violations.empty());
+}
+
+// Guards against a new leader that knows nothing of the crashes before it and so goes on with a deadly task from the start.
+BOOST_FIXTURE_TEST_CASE(CrashesAreKnownToTheNextLeader, SmallCell)
+{
+    this->deadly = {DeadlyTask};
+    this->world.submit(this->leader, DeadlyJob, 1);
+    BOOST_TEST(this->world.advanceUntil([this] { return this->crashes == 2U; }, 5s));
+    this->world.advanceTime(1500ms); // The loss is noticed and stored.
+    this->replaceLeader();
+    BOOST_TEST(this->reaches(DeadlyJob, JobState::Failed, 15s));
+    BOOST_TEST(this->crashes == 2U);
+    BOOST_TEST(this->world.violations.empty());
+}
+
+// Guards against a count of crashes that starts anew with each leader.
+BOOST_FIXTURE_TEST_CASE(LeadersThatAreKilledAfterEachCrashDoNotRepeatADeadlyTaskForEver, LargeCell)
+{
+    this->deadly = {DeadlyTask};
+    this->world.submit(this->leader, DeadlyJob, 1);
+    for (std::size_t kills = 0; kills < 3; ++kills) {
+        const std::size_t before = this->crashes;
+        this->world.advanceUntil([&] { return this->crashes > before; }, 10s);
+        this->world.advanceTime(1200ms);
+        this->replaceLeader();
+        this->world.advanceTime(100ms);
+    }
+    BOOST_TEST(this->reaches(DeadlyJob, JobState::Failed, 20s));
+    BOOST_TEST(this->world.startsOf(DeadlyTask) <= AllowedStarts);
+    BOOST_TEST(this->world.violations.empty());
+}
+
+// Guards against a store call for each task: without a crash the transactions are those of a cell without deadly tasks.
+BOOST_FIXTURE_TEST_CASE(WithoutACrashNothingMoreIsStored, SmallCell)
+{
+    this->submitHealthyJobs(100, 1s, true);
+    const std::size_t before = this->world.transactionCount;
+    this->submitHealthyJobs(200, 5s, true);
+    BOOST_TEST(this->world.transactionCount <= before + 6);
+}
+
+// Guards against a caller that waits for its deadline, or comes back for ever, with a best-effort job that crashes its endpoints.
+BOOST_FIXTURE_TEST_CASE(CallersOfADeadlyBestEffortJobGetAFinalAnswer, SmallCell)
+{
+    this->deadly = {DeadlyTask};
+    std::size_t submissions = 0;
+    std::optional<SubmitAnswer> last;
+    while (submissions < 8 && (!last || last->verdict != SubmitVerdict::Ended)) {
+        ++submissions;
+        const CallId call = this->world.submit(this->leader, DeadlyJob, 1, true);
+        const TimePoint submittedAt = this->world.now;
+        auto &answers = this->world.leaders[this->leader].submitAnswers;
+        BOOST_TEST_REQUIRE(this->world.advanceUntil([&] { return answers.contains(call); }, 3s));
+        BOOST_TEST((this->world.now - submittedAt < 1500ms)); // An endpoint's lease, and the time until it is noticed.
+        last = answers.at(call);
+        this->world.advanceTime(1300ms); // The platform's delay before a submission is repeated.
+    }
+    BOOST_TEST((last->verdict == SubmitVerdict::Ended));
+    BOOST_TEST((last->state == JobState::Failed));
+    BOOST_TEST(this->crashes <= 3U);
+}
+
+// Guards against tasks that are given up because their endpoints were cut off, and answer again.
+BOOST_FIXTURE_TEST_CASE(TaskOfEndpointsThatWereCutOffEndsAsDone, SmallCell)
+{
+    this->world.workTime = 2s;
+    this->world.submit(this->leader, DeadlyJob, 1);
+    for (int cuts = 0; cuts < 3; ++cuts) {
+        this->world.advanceTime(400ms);
+        for (EndpointModel &endpoint : this->world.endpoints) {
+            if (endpoint.runsTask(DeadlyTask) && endpoint.isReachable) {
+                endpoint.isReachable = false;
+                this->world.schedule(this->world.now + 4s, [&endpoint] { endpoint.isReachable = true; });
+            }
+        }
+        this->world.advanceTime(1200ms);
+    }
+    BOOST_TEST(this->reaches(DeadlyJob, JobState::Done, 30s));
+    BOOST_TEST(this->world.violations.empty());
+}
+
+// Guards against tasks that are isolated because their endpoints went down together, as when a rack loses power.
+BOOST_FIXTURE_TEST_CASE(TasksOfEndpointsThatAreLostTogetherAreRepeatedSideBySide, LargeCell)
+{
+    this->world.workTime = 400ms;
+    for (std::size_t number = 1; number <= 8; ++number) {
+        this->world.submit(this->leader, jobNumber(number), 2);
+    }
+    this->world.advanceTime(200ms);
+    for (std::size_t number = 0; number < 8; ++number) {
+        this->crash(number);
+    }
+    this->world.advanceTime(2s); // The leases end after a second, and all tasks run again at once.
+    for (std::size_t number = 1; number <= 8; ++number) {
+        BOOST_TEST(this->world.shows(this->leader, jobNumber(number), JobState::Done));
+    }
+    BOOST_TEST(this->world.violations.empty());
+}
+
+// Guards against endpoints that are avoided once a deadly task has crashed them.
+BOOST_FIXTURE_TEST_CASE(EndpointsThatADeadlyTaskCrashedAreUsedAgain, DeadlyCell<2>)
+{
+    this->deadly = {DeadlyTask};
+    this->world.submit(this->leader, DeadlyJob, 1);
+    BOOST_TEST(this->reaches(DeadlyJob, JobState::Failed, 15s));
+    this->world.advanceTime(4s); // Both endpoints are back.
+    const std::size_t before = this->world.startCount;
+    this->world.workTime = 200ms;
+    this->world.submit(this->leader, jobNumber(2), 4);
+    this->world.advanceTime(50ms);
+    BOOST_TEST(this->world.startCount == before + 4);
+}
+
+// Guards against the choice of one cause for all: a healthy task of a job whose other task is deadly is not left running.
+BOOST_FIXTURE_TEST_CASE(OtherTasksOfADeadlyJobAreStopped, SmallCell)
+{
+    this->deadly = {DeadlyTask};
+    this->world.runTime = [](const StartRun &order) { return order.task == DeadlyTask ? Duration(60ms) : Duration(30s); };
+    this->world.submit(this->leader, DeadlyJob, 3);
+    BOOST_TEST(this->reaches(DeadlyJob, JobState::Failed, 12s));
+    this->world.advanceTime(500ms);
+    for (const EndpointModel &endpoint : this->world.endpoints) {
+        BOOST_TEST((!endpoint.isUp || endpoint.runs.empty()));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/node/node_cells.cpp
+++ b/src/node/node_cells.cpp
@@ -185,6 +185,12 @@
                 if (!error) {
                     content->roster = std::move(roster).value();
                 }
+            } else if (row.key == lossesKey(cell)) {
+                Result<std::vector<EndpointLoss>> losses = decodeLosses(row.value);
+                error = errorOf(losses);
+                if (!error) {
+                    content->losses = std::move(losses).value();
+                }
             } else if (row.key.table == ProgressTable) {
                 Result<JobProgress> progress = decodeProgress(row.value);
                 error = errorOf(progress);
