An instance is ready once it knows a cell with endpoints; a new leader advertises its room at once

Cause: an instance was ready as soon as it reached a leader, though no cell with endpoints was known to it until that leader's next regular advert, up to 250 ms after its endpoints had listed their runs; each job was refused until then. Change: readiness waits for a cell with endpoints, for at most 2 s after a leader is reached; a leader advertises as soon as its first endpoint has listed its runs. Ruled out: the store and the endpoints' registration, as a leader was known. RoomOfANewLeaderIsAdvertisedAtOnce passes on the former code too: it only guards.

--- a/src/cells/cell_leader.cpp
+++ b/src/cells/cell_leader.cpp
@@ -105,6 +105,13 @@
     return now - this->chain.confirmedAt();
 }
 
+bool CellLeader::hasListedEndpoints() const
+{
+    return this->isLeading() && std::ranges::any_of(this->endpoints, [](const auto &entry) {
+               return entry.second->isRegistered && entry.second->hasListedRuns;
+           });
+}
+
 CellLoad CellLeader::load() const
 {
     CellLoad load;
--- a/src/cells/cell_leader.h
+++ b/src/cells/cell_leader.h
@@ -111,6 +111,9 @@
     /** @return Load of the cell. */
     CellLoad load() const;
 
+    /** @return Whether a registered endpoint has listed its runs, so that load() shows room. */
+    bool hasListedEndpoints() const;
+
     /** @return Number of endpoints whose state was evaluated for placement so far; the leader's processor time grows with it. */
     std::uint64_t gatheredEndpoints() const;
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -8,6 +8,7 @@
 
 namespace {
 
+constexpr Duration MaxRoomWait = std::chrono::seconds(2); // A fleet whose endpoints are all away still tells its callers so.
 constexpr Duration MovedRetryDelay = std::chrono::milliseconds(20); // A released lead is claimed by another instance within about 50 ms.
 constexpr Duration CallRetryDelay = std::chrono::milliseconds(60); // Used while a cell has no reachable leader.
 constexpr std::size_t MaxCachedJobs = 20000; // Two minutes of jobs at 160 a second for one instance; uses 2 MB.
@@ -463,9 +464,27 @@
 
 bool Node::isReady() const
 {
-    if (this->isLeaving || this->fleetConfig.version == 0) {
+    if (this->isLeaving || this->fleetConfig.version == 0 || !this->reachesLeader()) {
         return false;
     }
+    // Until a cell with endpoints is known, each job would be refused.
+    return this->hasKnownRoom || (this->reachesLeaderSince && this->ports.now() >= *this->reachesLeaderSince + MaxRoomWait);
+}
+
+void Node::updateReadiness(TimePoint now)
+{
+    if (this->hasKnownRoom || !this->reachesLeader()) {
+        return;
+    }
+    this->reachesLeaderSince = this->reachesLeaderSince.value_or(now);
+    this->hasKnownRoom = std::ranges::any_of(this->cells, [](const auto &entry) { return entry.second.load.capacityCpu > 0; });
+    if (this->hasKnownRoom) {
+        this->log("room-known", {{"waited_ms", std::to_string((now - *this->reachesLeaderSince) / std::chrono::milliseconds(1))}});
+    }
+}
+
+bool Node::reachesLeader() const
+{
     return std::ranges::any_of(this->cells, [this](const auto &entry) {
         const CellView &view = entry.second;
         const bool isReachable = view.leader == this->options.self.name || this->links.isLinked(view.leader);
@@ -508,6 +527,7 @@
     if (this->isAdvertDue || now >= this->nextAdvertAt) {
         this->advertise(now);
     }
+    this->updateReadiness(now);
 }
 
 void Node::callLater(Duration delay, std::function<void()> task)
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -87,7 +87,10 @@
     /** @return Current time of the node's clock. */
     TimePoint now() const;
 
-    /** @return Whether the instance accepts callers: it is not shutting down, has a configuration and reaches the leader of a cell. */
+    /**
+     * @return Whether the instance accepts callers: it is not shutting down, has a configuration, reaches the leader of a cell, and has
+     * known a cell with endpoints since its start, or has waited for one long enough.
+     */
     bool isReady() const;
 
     /** Start a planned stop: release all leads. Open calls are still answered. */
@@ -149,10 +152,15 @@
     struct LedCell {
         std::unique_ptr<CellLeader> leader; ///< Created by claim().
         bool isAdvertised = false; ///< Whether an advert has been scheduled since the lead was confirmed.
+        bool isRoomAdvertised = false; ///< Whether one has been scheduled since an endpoint first listed its runs.
         TimePoint claimedAt; ///< Time when the claim started.
         std::uint64_t generation = 0; ///< Identifies the leader, so that answers for an earlier leader of the same cell are ignored.
     };
 
+    // node.cpp: readiness.
+    bool reachesLeader() const;
+    void updateReadiness(TimePoint now);
+
     // node.cpp: calls.
     void submitToCell(CallId call, PendingCall &pending);
     void withdraw(CallId call, const PendingCall &pending);
@@ -255,6 +263,8 @@
     bool isLayoutReadInFlight = false; ///< Whether a read of the layouts is in flight.
     bool areLayoutsRead = false; ///< Whether the layouts were read since this instance last stored one.
     bool areLinksDue = false; ///< Whether leads have changed since the last updateLinks().
+    std::optional<TimePoint> reachesLeaderSince; ///< When the instance first reached the leader of a cell; unset before.
+    bool hasKnownRoom = false; ///< Whether a cell with endpoints has been known since the start.
     bool isAdvertDue = false; ///< Whether a change must be advertised in the next tick.
     bool isLeaving = false; ///< Whether the process is shutting down.
     TimePoint storeReadableSince = TimePoint::max(); ///< First successful read of the instances' rows after a failed one; max() if none.
--- a/src/node/node_cells.cpp
+++ b/src/node/node_cells.cpp
@@ -95,6 +95,10 @@
         this->areLinksDue = true;
         this->isAdvertDue = true;
     }
+    if (!found->second.isRoomAdvertised && found->second.leader->hasListedEndpoints()) {
+        found->second.isRoomAdvertised = true;
+        this->isAdvertDue = true;
+    }
     std::vector<CellAction> actions = found->second.leader->takeActions();
     for (CellAction &action : actions) {
         this->runAction(cell, generation, std::move(action));
--- a/src/node/tests/calls_test.cpp
+++ b/src/node/tests/calls_test.cpp
@@ -35,6 +35,20 @@
     }
 };
 
+/** A fleet that has a leader and a configuration, and whose endpoints have not answered yet. */
+struct FreshFleet {
+    NodeWorld fleet{2, 2, false, false, 0.25, true, false};
+    std::size_t entry = fleet.follower();
+
+    FreshFleet()
+    {
+        FleetConfig config;
+        config.version = 1;
+        config.services = {{ServiceName("service"), true, false}};
+        this->fleet.nodes[this->entry].node->setConfig(config);
+    }
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(Calls)
@@ -45,6 +59,47 @@
     BOOST_TEST((this->fleet.world.now - start - 500ms <= 500ms));
 }
 
+// Guards against an instance of a fresh fleet that takes callers and refuses their first jobs, as no leader has told it of endpoints yet.
+BOOST_FIXTURE_TEST_CASE(InstanceIsReadyOnceItKnowsRoomAndServesFromThenOn, FreshFleet)
+{
+    BOOST_TEST(!this->fleet.nodes[this->entry].node->isReady());
+    for (EndpointModel &endpoint : this->fleet.world.endpoints) {
+        endpoint.isUp = true;
+    }
+    BOOST_TEST_REQUIRE(this->fleet.world.advanceUntil([this] { return this->fleet.nodes[this->entry].node->isReady(); }, 900ms));
+    const CallId call = this->fleet.submit(this->entry, Job, 1, 1500ms, false);
+    this->fleet.world.advanceTime(300ms);
+    const auto &answers = this->fleet.nodes[this->entry].submitAnswers;
+    BOOST_TEST_REQUIRE(answers.contains(call));
+    BOOST_TEST((answers.at(call).verdict == SubmitVerdict::Accepted));
+}
+
+// Guards against a fleet that never takes callers, and so never tells them anything, while all of its endpoints are away.
+BOOST_FIXTURE_TEST_CASE(InstanceThatKnowsNoRoomIsReadyAfterAWhile, FreshFleet)
+{
+    this->fleet.world.advanceTime(2500ms);
+    BOOST_TEST(this->fleet.nodes[this->entry].node->isReady());
+}
+
+// Guards against jobs that are refused for a quarter of a second after each change of leader, until the next regular advert.
+BOOST_FIXTURE_TEST_CASE(RoomOfANewLeaderIsAdvertisedAtOnce, ThreeNodes)
+{
+    this->fleet.kill(*this->fleet.leader());
+    BOOST_TEST_REQUIRE(this->fleet.world.advanceUntil([this] { return this->fleet.leader().has_value(); }, 8s));
+    this->entry = this->fleet.follower();
+    this->fleet.world.advanceUntil([this] { return this->fleet.leader() && this->fleet.world.startCount > 0; }, 50ms);
+    const auto &answers = this->fleet.nodes[this->entry].submitAnswers;
+    const auto hasAccepted = [&answers] {
+        return std::ranges::any_of(answers, [](const auto &entry) { return entry.second.verdict == SubmitVerdict::Accepted; });
+    };
+    const TimePoint tookLead = this->fleet.world.now;
+    for (int number = 1; number < 100 && !hasAccepted(); ++number) {
+        this->fleet.submit(this->entry, JobId("00000000000001" + std::to_string(10 + number)), 1, 10ms, false);
+        this->fleet.world.advanceTime(10ms);
+    }
+    BOOST_TEST((this->fleet.world.now - tookLead <= 150ms));
+}
+
 BOOST_FIXTURE_TEST_CASE(OnlyTheLeaderSendsFrequentAdverts, ThreeNodes)
 {
     // Guards against adverts of every instance to every other four times a second, which use up the CPU with hundreds of instances.
--- a/src/node/tests/node_world.cpp
+++ b/src/node/tests/node_world.cpp
@@ -21,11 +21,14 @@
 } // namespace
 
 NodeWorld::NodeWorld(std::size_t nodeCount, std::size_t endpointCount, bool hasOtherCell, bool hasOtherNode, double firstCoreShare,
-                     bool areEvacuationsKnown)
+                     bool areEvacuationsKnown, bool doEndpointsAnswer)
     : world(endpointCount)
     , nodes(nodeCount)
 {
     this->world.onTick = [this] { this->tick(); };
+    for (EndpointModel &endpoint : this->world.endpoints) {
+        endpoint.isUp = doEndpointsAnswer;
+    }
     std::vector<FailureDomain> domains = {FailureDomain("cell")};
     if (hasOtherCell) {
         domains.emplace_back("other");
--- a/src/node/tests/node_world.h
+++ b/src/node/tests/node_world.h
@@ -31,10 +31,11 @@
 public:
     /**
      * Start the nodes and run the world until 0.5 s after a node leads the cell, or for 5.5 s.
+     * @param doEndpointsAnswer Whether the endpoints are up from the start.
      * @param areEvacuationsKnown Whether the nodes have read the operators' table, which is empty.
      */
     NodeWorld(std::size_t nodeCount, std::size_t endpointCount, bool hasOtherCell = false, bool hasOtherNode = false,
-              double firstCoreShare = 0.25, bool areEvacuationsKnown = true);
+              double firstCoreShare = 0.25, bool areEvacuationsKnown = true, bool doEndpointsAnswer = true);
 
     CellWorld world; ///< Store, endpoints and clock.
     std::vector<WorldNode> nodes;
