A pass over the waiting jobs goes by the room of endpoints that can take a run

Callers would see: jobs that wait behind six jobs that fit nowhere, though there is room for them, for as long as an endpoint that is gone stays registered (4.5 s on the users' platform). Cause: a pass ends after six jobs that found no endpoint although one has room; the room counted endpoints that take no runs: lost, draining, suspect or reserved ones. Change: only endpoints that a run could be placed on count, so jobs larger than that are passed over without being counted.

--- a/src/cells/cell_dispatch.cpp
+++ b/src/cells/cell_dispatch.cpp
@@ -120,7 +120,7 @@
     if (!this->canGiveOrders(now) || this->areStartsOver(now)) {
         return;
     }
-    std::int64_t largestRoom = this->largestFreeCpu();
+    std::int64_t largestRoom = this->largestFreeCpu(now);
     if (largestRoom < this->smallestWaitingCpu) {
         return;
     }
@@ -145,7 +145,7 @@
         }
         const std::size_t formerDeferrals = this->deferrals;
         const bool isStarted = this->startWaitingTasks(now, *job);
-        largestRoom = this->largestFreeCpu();
+        largestRoom = this->largestFreeCpu(now);
         if (!isStarted) {
             // A task that waits for a faster endpoint leaves room to the jobs behind it.
             misses += this->deferrals == formerDeferrals || this->deferrals > MaxDeferrals ? 1 : 0;
@@ -168,11 +168,12 @@
     }
 }
 
-std::int64_t CellLeader::largestFreeCpu() const
+std::int64_t CellLeader::largestFreeCpu(TimePoint now) const
 {
     std::int64_t largest = 0;
     for (const auto &[name, endpoint] : this->endpoints) {
-        largest = std::max(largest, endpoint->freeResources().cpu);
+        const std::int64_t freeCpu = endpoint->freeResources().cpu;
+        largest = freeCpu > largest && this->canPlace(now, *endpoint) ? freeCpu : largest;
     }
     return largest;
 }
--- a/src/cells/cell_leader.h
+++ b/src/cells/cell_leader.h
@@ -227,7 +227,7 @@
     // cell_dispatch.cpp: endpoints and runs.
     bool canGiveOrders(TimePoint now) const;
     void startReadyJobs(TimePoint now);
-    std::int64_t largestFreeCpu() const;
+    std::int64_t largestFreeCpu(TimePoint now) const;
     bool startWaitingTasks(TimePoint now, CellJob &job);
     void startRun(TimePoint now, CellJob &job, const TaskRef &task, CellEndpoint &endpoint);
     void orderStart(const CellJob &job, const TaskRef &task, const CellEndpoint &endpoint, const RunRecord &run);
