--- a/src/cells/cell_dispatch.cpp
+++ b/src/cells/cell_dispatch.cpp
@@ -37,11 +37,6 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
-std::string toText(const TaskRef &task)
-{
-    return std::to_string(task.step) + "." + std::to_string(task.index);
-}
-
 /** @return Names of the first tasks that run on an endpoint. */
 std::string namesOfRuns(const CellEndpoint &endpoint)
 {
--- a/src/cells/cell_isolation.cpp
+++ b/src/cells/cell_isolation.cpp
@@ -14,11 +14,6 @@
 constexpr Duration CommonCauseWindow = std::chrono::milliseconds(400);
 constexpr std::size_t IsolationDivisor = 4; // Share of the endpoints that isolated tasks may take from the others.
 
-std::string toText(const TaskRef &task)
-{
-    return std::to_string(task.step) + "." + std::to_string(task.index);
-}
-
 std::string namesOf(const std::vector<LostTask> &tasks)
 {
     std::string names;
@@ -45,8 +40,8 @@
     std::vector<LostTask> tasks;
     for (const auto &[task, run] : endpoint.runs) {
         const bool isConfirmed = run.phase == RunPhase::Running || run.phase == RunPhase::Stopping || run.isListed;
-        // The order of a run that wasn't confirmed may have met the incarnation that replaced the crashed one.
         const std::shared_ptr<CellJob> job = this->findJob(task.job);
+        // The order of a run that wasn't confirmed may have met the incarnation that replaced the crashed one.
         if (job && job->hasTask(task) && !isFinal(job->state) && (isConfirmed || !isReplaced)) {
             tasks.push_back({task, isConfirmed});
         }
@@ -105,6 +100,29 @@
     return limit - std::min(limit, taken);
 }
 
+bool CellLeader::settleIsolatedTask(TimePoint now, const TaskRef &task, CrashVerdict verdict)
+{
+    const std::shared_ptr<CellJob> job = this->findJob(task.job);
+    if (!job || !job->hasTask(task) || isFinal(job->state) || job->task(task).phase != TaskPhase::Isolated) {
+        return true;
+    }
+    if (verdict == CrashVerdict::Deadly) {
+        this->failDeadlyJob(now, job, task);
+        return true;
+    }
+    const bool canBeAbandoned = job->spec.isBestEffort && job->placedTasks == 0;
+    if (canBeAbandoned && timelinessOf(this->urgencyOf(*job), now) == JobTimeliness::TooLate) {
+        this->abandonJob(now, job);
+        return true;
+    }
+    if (verdict == CrashVerdict::None) {
+        job->makeWaiting(task);
+        this->addToReadyJobs(now, *job);
+        return true;
+    }
+    return false;
+}
+
 void CellLeader::startIsolatedTasks(TimePoint now)
 {
     if (this->isolatedTasks.empty() && !this->hasReservations) {
@@ -114,27 +132,16 @@
     for (auto &[name, endpoint] : this->endpoints) {
         endpoint->isReserved = false;
     }
-    const bool canStart = this->canGiveOrders(now) && !this->areStartsOver(now) && !this->isCrashRowUrgent && !this->batch.storesCrashes;
+    // The next leader has to know of a loss before its tasks can cause another one.
+    const bool areLossesStored = !this->isCrashRowUrgent && !this->batch.storesCrashes;
+    const bool canStart = this->canGiveOrders(now) && !this->areStartsOver(now) && areLossesStored;
     std::size_t room = canStart ? this->isolationRoom() : 0;
     for (const TaskRef &task : std::exchange(this->isolatedTasks, {})) {
-        const std::shared_ptr<CellJob> job = this->findJob(task.job);
-        if (!job || !job->hasTask(task) || isFinal(job->state) || job->task(task).phase != TaskPhase::Isolated) {
-            continue;
-        }
         const CrashVerdict verdict = this->crashes.verdict(task, now);
-        if (verdict == CrashVerdict::Deadly) {
-            this->failDeadlyJob(now, job, task);
-            continue;
-        }
-        if (job->spec.isBestEffort && job->placedTasks == 0 && timelinessOf(this->urgencyOf(*job), now) == JobTimeliness::TooLate) {
-            this->abandonJob(now, job);
-            continue;
-        }
-        if (verdict == CrashVerdict::None) {
-            job->makeWaiting(task);
-            this->addToReadyJobs(now, *job);
+        if (this->settleIsolatedTask(now, task, verdict)) {
             continue;
         }
+        const std::shared_ptr<CellJob> job = this->findJob(task.job);
         const bool isDue = verdict == CrashVerdict::RunAlone && room > 0 && !this->hasRunOf(task) && this->canStartTasksOf(now, *job);
         CellEndpoint *endpoint = isDue ? this->chooseForIsolation(now, *job, task) : nullptr;
         room -= endpoint ? 1 : 0;
--- a/src/cells/cell_leader.h
+++ b/src/cells/cell_leader.h
@@ -199,9 +199,10 @@
     // cell_isolation.cpp: tasks under which endpoints were lost.
     std::size_t countLossesAround(TimePoint time) const;
     std::vector<LostTask> unfinishedTasksOn(const CellEndpoint &endpoint, bool isReplaced) const;
-    void recordLoss(TimePoint now, CellEndpoint &endpoint, bool isReplaced);
+    void recordLoss(TimePoint now, CellEndpoint &endpoint, bool isReplaced); ///< @param isReplaced Whether another incarnation was seen.
     void isolateSuspects(TimePoint now, CellJob &job);
     std::size_t isolationRoom() const; ///< Number of endpoints that further isolated tasks may take.
+    bool settleIsolatedTask(TimePoint now, const TaskRef &task, CrashVerdict verdict); ///< @return Whether the task waits no longer.
     void startIsolatedTasks(TimePoint now);
     CellEndpoint *chooseForIsolation(TimePoint now, const CellJob &job, const TaskRef &task);
     void failDeadlyJob(TimePoint now, const std::shared_ptr<CellJob> &job, const TaskRef &task);
--- a/src/cells/job_type.h
+++ b/src/cells/job_type.h
@@ -43,6 +43,12 @@
     Duration targetDuration{}; ///< Time that callers accept beyond that.
 };
 
+/** @return Step and index of a task for the log, such as "0.3". */
+inline std::string toText(const TaskRef &task)
+{
+    return std::to_string(task.step) + "." + std::to_string(task.index);
+}
+
 /** State of a job. */
 enum class JobState : std::uint8_t {
     Queued, ///< Accepted; no task has started.
