A run that is missing in a full list of ends is not taken for lost

Cause: an endpoint lists 500 ends at most; with so many unacknowledged ones the end of a new run isn't listed, nor is the run, and it was repeated as vanished, again and again. Evidence: the log has run-lost reason=vanished 12 ms after each end, and all those ends listed at once 9 s later. Change: a full list says nothing about runs that are missing in it. RunThatIsMissingInATruncatedListIsNotRepeated fails without the change. Ruled out: the isolation of tasks, no task was suspected there.

--- a/src/cells/cell_dispatch.cpp
+++ b/src/cells/cell_dispatch.cpp
@@ -29,6 +29,7 @@
 constexpr Duration SpeedUpdateInterval = std::chrono::milliseconds(100); // Bounds the processor time; speeds change over seconds.
 constexpr std::size_t MaxDeferrals = 32; // Jobs that wait for faster endpoints in one pass; bounds its length.
 constexpr double PassingFaultSlowness = 2.5; // Lasting speeds differ by less; see EndpointHealth.
+constexpr std::size_t MaxListedEnds = 500; // An endpoint lists no more at a time; specified by the platform.
 constexpr Duration PassLogInterval = std::chrono::seconds(1); // Bounds the log.
 constexpr std::size_t MaxLoggedTasks = 8; // Bounds the length of a line.
 
@@ -635,6 +636,9 @@
         listed.emplace(run.task, run.run);
         this->adoptRun(now, endpoint, run, result.clockMs);
     }
+    if (result.finished.size() >= MaxListedEnds) {
+        return; // The end of a run that isn't listed may be behind those that a full list has room for.
+    }
     std::vector<std::pair<TaskRef, std::string_view>> lost;
     for (const auto &[task, run] : endpoint.runs) {
         const auto found = listed.find(task);
