Ends that are listed while the end of their job is being stored are acknowledged

Change: once a job's end is stored, all its ends are settled. EndThatIsListedWhileTheEndOfItsJobIsStoredIsAcknowledged fails without the change.

--- a/src/cells/cell_leader_store.cpp
+++ b/src/cells/cell_leader_store.cpp
@@ -76,6 +76,10 @@
         }
         if (isFinal(state) && this->jobs.contains(id)) {
             this->finishJob(now, id);
+            // Ends that were listed since the transaction was sent change nothing any more.
+            for (auto &[name, endpoint] : this->endpoints) {
+                endpoint->settleEnds(id, endpoint->lastListedEnd());
+            }
         }
     }
     for (const JobId &id : stored.removedJobs) {
