--- a/src/cells/cell_dispatch.cpp
+++ b/src/cells/cell_dispatch.cpp
@@ -320,6 +320,18 @@
     return this->runIndex.contains(task);
 }
 
+bool CellLeader::hasRunOf(const CellJob &job) const
+{
+    for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
+        for (std::uint32_t index = 0; index < job.spec.steps[step].count; ++index) {
+            if (this->hasRunOf(TaskRef{job.id, step, index})) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
 void CellLeader::startRun(TimePoint now, CellJob &job, const TaskRef &task, CellEndpoint &endpoint)
 {
     TaskRecord &record = job.task(task);
--- a/src/cells/cell_evacuation.cpp
+++ b/src/cells/cell_evacuation.cpp
@@ -48,9 +48,10 @@
         if (!job->spec.isBestEffort) {
             continue;
         }
-        if (job->placedTasks == 0 && job->hasNeverStarted()) {
+        const bool canGoOn = job->placedTasks > 0 || this->canStartTasksOf(now, *job);
+        if (!canGoOn && job->hasNeverStarted()) {
             handedBack.push_back(job);
-        } else if (this->areStartsOver(now) && job->needsStarts()) {
+        } else if (!canGoOn || (this->areStartsOver(now) && job->needsStarts())) {
             unfinished.push_back(job);
         }
     }
--- a/src/cells/cell_leader.h
+++ b/src/cells/cell_leader.h
@@ -181,7 +181,7 @@
 
     // cell_leader_jobs.cpp: submissions, queries and cancellation.
     void finishJob(TimePoint now, const JobId &id);
-    void submitBestEffort(TimePoint now, const BestEffortCall &call, const std::shared_ptr<CellJob> &job, bool mayHaveRun);
+    void submitBestEffort(TimePoint now, const BestEffortCall &call, const std::shared_ptr<CellJob> &job, bool wasSubmittedBefore);
     void withdrawJob(TimePoint now, const JobId &id);
     void withdrawExpiredJobs(TimePoint now);
     void adoptOrphans(CellJob &job);
@@ -266,6 +266,7 @@
     void adoptRun(TimePoint now, CellEndpoint &endpoint, const ListedRun &listed, std::int64_t clockMs);
     bool canBeResubmitted(const JobId &job) const;
     bool hasRunOf(const TaskRef &task) const;
+    bool hasRunOf(const CellJob &job) const;
     void dropRun(TimePoint now, CellEndpoint &endpoint, TaskRef task, std::string_view reason);
     void dropRuns(TimePoint now, CellEndpoint &endpoint, std::string_view reason);
     void recordNoAnswer(TimePoint now, CellEndpoint &endpoint);
--- a/src/cells/cell_leader_jobs.cpp
+++ b/src/cells/cell_leader_jobs.cpp
@@ -52,7 +52,7 @@
     this->flush(now);
 }
 
-void CellLeader::submitBestEffort(TimePoint now, const BestEffortCall &call, const std::shared_ptr<CellJob> &job, bool mayHaveRun)
+void CellLeader::submitBestEffort(TimePoint now, const BestEffortCall &call, const std::shared_ptr<CellJob> &job, bool wasSubmittedBefore)
 {
     if (const auto known = this->bestEffortCalls.find(job->id); known != this->bestEffortCalls.end()) {
         if (known->second.call != call.call) {
@@ -61,6 +61,8 @@
         known->second = call;
         return;
     }
+    // A caller that lost its instance submits its job as a new one.
+    const bool mayHaveRun = wasSubmittedBefore || this->hasRunOf(*job);
     if (const std::string_view refusal = this->findRefusal(*job, mayHaveRun); !refusal.empty()) {
         this->refuse({&call.call, 1}, *job, refusal);
         return;
--- a/src/cells/tests/withdrawal_test.cpp
+++ b/src/cells/tests/withdrawal_test.cpp
@@ -76,4 +76,34 @@
     BOOST_TEST(this->world.startsOf({OtherJob, 0, 0}) == 1U);
 }
 
+// Guards against a refusal as not run of a job that returns to the successor of its leader while the cell still has a run of it: its
+// instance would submit it to another cell at once.
+BOOST_FIXTURE_TEST_CASE(JobThatReturnsToARunOfItIsNotRefusedAsNeverRun, SharedEndpoint)
+{
+    this->world.leaders[this->leader].isUp = false;
+    const std::size_t successor = this->world.addLeader();
+    this->world.advanceTime(100ms);
+    BOOST_TEST_REQUIRE(this->world.endpoints[0].runsTask(Task));
+    const CallId again = this->world.submit(successor, Job, 1, true);
+    this->world.leaders[successor].leader->setEvacuated(this->world.now, this->world.now + 5s);
+    this->world.advanceTime(100ms);
+    const auto &answers = this->world.leaders[successor].submitAnswers;
+    BOOST_TEST((!answers.contains(again) || answers.at(again).verdict != SubmitVerdict::Refused));
+    BOOST_TEST(this->world.violations.empty());
+}
+
+// As above, with a run that is being stopped, so that the job can't go on in the evacuated cell.
+BOOST_FIXTURE_TEST_CASE(JobThatReturnsToAStoppingRunInAnEvacuatedCellIsAnsweredAsUnknownAtOnce, SharedEndpoint)
+{
+    this->world.leaders[this->leader].leader->setEvacuated(this->world.now, this->world.now + 5s);
+    this->world.stopOutcome = [] { return CallOutcome::Lost; };
+    this->world.withdraw(this->leader, this->call);
+    const CallId again = this->world.submit(this->leader, Job, 1, true);
+    this->world.advanceTime(100ms);
+    const auto &answers = this->world.leaders[this->leader].submitAnswers;
+    BOOST_TEST_REQUIRE(answers.contains(again));
+    BOOST_TEST((answers.at(again).verdict == SubmitVerdict::Unknown));
+    BOOST_TEST(this->world.violations.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
