--- a/src/cells/job_type.h
+++ b/src/cells/job_type.h
@@ -9,6 +9,11 @@
 
 namespace Tanagertally::Cells {
 
+/** Longest estimate and target duration of a job. Sums over its steps, times MaxStretch and LateFactor, stay within a Duration. */
+inline constexpr Duration MaxEstimate = std::chrono::hours(24);
+/** Largest factor on the ideal run time of a job. */
+inline constexpr double MaxStretch = 20;
+
 /** One step of a job: a number of identical tasks. */
 struct StepSpec {
     std::uint32_t count = 0; ///< Number of tasks.
