--- a/src/cells/store_rows.cpp
+++ b/src/cells/store_rows.cpp
@@ -13,14 +13,20 @@
 // Keeps the load of each partition below its limit of 250 transactions/s on the users' platform.
 constexpr std::uint64_t IdPartitions = 16;
 
+constexpr double MaxCoreShare = 4096; // Cores of the largest machines.
+
 template<typename Decode>
 auto decodeRow(std::string_view value, std::string_view what, Decode decode) -> Result<decltype(decode(Json()))>
 {
+    std::string fault;
     try {
         return decode(fromCborText(value));
     } catch (const Json::exception &error) {
-        return makeError(ErrorCode::BadInput, fmt::format("can't read the {} row: {}", what, error.what()), std::string(what));
+        fault = error.what();
+    } catch (const CborError &error) {
+        fault = error.what();
     }
+    return makeError(ErrorCode::BadInput, fmt::format("can't read the {} row: {}", what, fault), std::string(what));
 }
 
 Json endpointToJson(const EndpointRecord &endpoint)
@@ -36,7 +42,8 @@
     endpoint.service = ServiceName(json.at(1).get<std::string>());
     endpoint.address = NetAddress(json.at(2).get<std::string>());
     endpoint.domain = FailureDomain(json.at(3).get<std::string>());
-    endpoint.capacity = {json.at(4).get<std::int64_t>(), json.at(5).get<std::int64_t>(), json.at(6).get<std::int64_t>()};
+    endpoint.capacity = {integerFromJson<std::uint32_t>(json.at(4), "cpu"), integerFromJson<std::uint32_t>(json.at(5), "memory"),
+                         integerFromJson<std::uint32_t>(json.at(6), "gpu")};
     endpoint.labels = json.at(7).get<std::vector<std::string>>();
     return endpoint;
 }
@@ -91,8 +98,10 @@
 Result<LeadRecord> decodeLead(std::string_view value)
 {
     return decodeRow(value, "lead", [](const Json &json) {
-        return LeadRecord{InstanceName(json.at(0).get<std::string>()), Incarnation(json.at(1).get<std::uint64_t>()),
-                          FenceToken(json.at(2).get<std::uint64_t>()), json.at(3).get<std::uint64_t>()};
+        return LeadRecord{InstanceName(json.at(0).get<std::string>()),
+                          Incarnation(integerFromJson<std::uint64_t>(json.at(1), "incarnation")),
+                          FenceToken(integerFromJson<std::uint64_t>(json.at(2), "token")),
+                          integerFromJson<std::uint64_t>(json.at(3), "number of the transaction")};
     });
 }
 
@@ -123,13 +132,15 @@
 {
     return decodeRow(value, "progress", [](const Json &json) {
         JobProgress progress;
-        progress.state = static_cast<JobState>(json.at(0).get<int>());
+        progress.state = enumFromJson(json.at(0), "state", JobState::Cancelled);
         for (const Json &task : json.at(1)) {
-            progress.done.push_back({task.at(0).get<std::uint32_t>(), task.at(1).get<std::uint32_t>()});
+            progress.done.push_back(
+                {integerFromJson<std::uint32_t>(task.at(0), "step"), integerFromJson<std::uint32_t>(task.at(1), "task")});
         }
         for (const Json &task : json.at(2)) {
-            progress.failures.push_back(
-                {task.at(0).get<std::uint32_t>(), task.at(1).get<std::uint32_t>(), task.at(2).get<std::uint32_t>()});
+            progress.failures.push_back({integerFromJson<std::uint32_t>(task.at(0), "step"),
+                                         integerFromJson<std::uint32_t>(task.at(1), "task"),
+                                         integerFromJson<std::uint32_t>(task.at(2), "failures")});
         }
         return progress;
     });
@@ -177,11 +188,12 @@
             EndpointLoss loss;
             loss.endpoint = EndpointName(row.at(0).get<std::string>());
             loss.address = NetAddress(row.at(1).get<std::string>());
-            loss.born = row.at(2).is_null() ? std::nullopt : std::optional(row.at(2).get<std::int64_t>());
+            loss.born = row.at(2).is_null() ? std::nullopt : std::optional(integerFromJson<std::int64_t>(row.at(2), "born", 1));
             loss.state = row.at(3).get<bool>() ? LossState::Crashed : LossState::Unconfirmed;
             loss.wasAlone = row.at(4).get<bool>();
             for (const Json &task : row.at(5)) {
-                const TaskRef ref{JobId(task.at(0).get<std::string>()), task.at(1).get<std::uint32_t>(), task.at(2).get<std::uint32_t>()};
+                const TaskRef ref{JobId(task.at(0).get<std::string>()), integerFromJson<std::uint32_t>(task.at(1), "step"),
+                                  integerFromJson<std::uint32_t>(task.at(2), "task")};
                 loss.tasks.push_back({ref, task.at(3).get<bool>()});
             }
             if (!loss.tasks.empty()) {
@@ -199,11 +211,8 @@
 
 Result<std::uint32_t> decodeCellCount(std::string_view value)
 {
-    Result<std::uint32_t> count = decodeRow(value, "layout", [](const Json &json) { return json.at(0).get<std::uint32_t>(); });
-    if (count && count.value() == 0) {
-        return makeError(ErrorCode::BadInput, "can't read the layout row: the number of cells must be at least 1", "layout");
-    }
-    return count;
+    return decodeRow(value, "layout",
+                     [](const Json &json) { return integerFromJson<std::uint32_t>(json.at(0), "number of cells", 1, MaxCellsPerDomain); });
 }
 
 std::string encodeInstance(const InstanceRecord &instance)
@@ -216,10 +225,10 @@
 {
     return decodeRow(value, "instance", [](const Json &json) {
         return InstanceRecord{InstanceName(json.at(0).get<std::string>()),
-                              Incarnation(json.at(1).get<std::uint64_t>()),
+                              Incarnation(integerFromJson<std::uint64_t>(json.at(1), "incarnation")),
                               NetAddress(json.at(2).get<std::string>()),
                               FailureDomain(json.at(3).get<std::string>()),
-                              json.at(4).get<double>(),
+                              numberFromJson(json.at(4), "core share", 0, MaxCoreShare),
                               json.at(5).get<bool>()};
     });
 }
--- a/src/cells/store_rows.h
+++ b/src/cells/store_rows.h
@@ -47,6 +47,9 @@
 inline constexpr std::string_view ProgressTable = "progress"; ///< Progress and final states, in the partition of their cell.
 inline constexpr std::string_view IdsTable = "ids"; ///< Cell of each job; partitioned by a hash of the job's name.
 
+/** Largest number of cells of a failure domain. Every instance holds a view of each cell of the fleet. */
+inline constexpr std::uint32_t MaxCellsPerDomain = 1024;
+
 /** @return Key of the lead row of a cell. */
 RowKey leadKey(const CellName &cell);
 /** @return Key of the row that lists the endpoints that leaders of a cell may have used. */
--- a/src/node/cell_layout.cpp
+++ b/src/node/cell_layout.cpp
@@ -1,5 +1,6 @@
 #include "node/cell_layout.h"
 
+#include "cells/store_rows.h"
 #include "core/hash_func.h"
 
 #include <algorithm>
@@ -31,7 +32,7 @@
 
 std::uint32_t chooseCellCount(std::size_t endpointCount)
 {
-    return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(endpointCount / EndpointsPerCell));
+    return static_cast<std::uint32_t>(std::clamp<std::size_t>(endpointCount / EndpointsPerCell, 1, MaxCellsPerDomain));
 }
 
 std::vector<CellName> cellsOf(const DomainLayout &layout)
--- a/src/node/link_message.cpp
+++ b/src/node/link_message.cpp
@@ -13,9 +13,17 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
-Duration toDuration(const Json &json)
+constexpr std::int64_t NoRetryMs = -1; // States that a retry can't help.
+constexpr std::int64_t MaxLoad = std::int64_t(1) << 48; // Sums of a load over the cells of a fleet stay within 64 bits.
+
+std::int64_t loadFromJson(const Json &json, std::string_view what)
 {
-    return std::chrono::milliseconds(json.get<std::int64_t>());
+    return integerFromJson<std::int64_t>(json, what, -MaxLoad, MaxLoad);
+}
+
+std::uint64_t counterFromJson(const Json &json, std::string_view what)
+{
+    return integerFromJson<std::uint64_t>(json, what);
 }
 
 Json toJson(const LinkHello &message)
@@ -50,7 +58,7 @@
 
 Json toJson(const LinkSubmitReply &message)
 {
-    const std::int64_t retryAfterMs = message.answer.retryAfter ? toMs(*message.answer.retryAfter) : -1;
+    const std::int64_t retryAfterMs = message.answer.retryAfter ? toMs(*message.answer.retryAfter) : NoRetryMs;
     return Json::array({message.call.value, static_cast<int>(message.answer.verdict), message.answer.reason, retryAfterMs,
                         static_cast<int>(message.answer.state)});
 }
@@ -74,42 +82,44 @@
 {
     CellAdvert advert;
     advert.cell = CellName(json.at(0).get<std::string>());
-    advert.token = FenceToken(json.at(1).get<std::uint64_t>());
-    advert.storeSilence = toDuration(json.at(2));
-    advert.load.capacityCpu = json.at(3).get<std::int64_t>();
-    advert.load.freeCpu = json.at(4).get<std::int64_t>();
-    advert.load.waitingWork = json.at(5).get<double>();
+    advert.token = FenceToken(counterFromJson(json.at(1), "token"));
+    advert.storeSilence = millisecondsFromJson(json.at(2), "store silence", Duration::max());
+    advert.load.capacityCpu = loadFromJson(json.at(3), "capacity");
+    advert.load.freeCpu = loadFromJson(json.at(4), "free capacity");
+    advert.load.waitingWork = numberFromJson(json.at(5), "waiting work", -static_cast<double>(MaxLoad), static_cast<double>(MaxLoad));
     for (const Json &entry : json.at(6)) {
-        advert.load.pendingJobs.emplace(QueueName(entry.at(0).get<std::string>()), entry.at(1).get<std::uint64_t>());
+        advert.load.pendingJobs.emplace(QueueName(entry.at(0).get<std::string>()),
+                                        integerFromJson<std::uint64_t>(entry.at(1), "pending jobs", 0, MaxLoad));
     }
     advert.load.labels = json.at(7).get<std::vector<std::string>>();
     if (json.size() > 9) { // Instances of earlier versions don't send the rest.
-        advert.load.rateCpu = json.at(8).get<std::int64_t>();
-        advert.load.usableCpu = json.at(9).get<std::int64_t>();
+        advert.load.rateCpu = loadFromJson(json.at(8), "rate");
+        advert.load.usableCpu = loadFromJson(json.at(9), "usable capacity");
     }
     return advert;
 }
 
 LinkMessage helloFromJson(const Json &json)
 {
-    return LinkHello{InstanceName(json.at(0).get<std::string>()), Incarnation(json.at(1).get<std::uint64_t>())};
+    return LinkHello{InstanceName(json.at(0).get<std::string>()), Incarnation(counterFromJson(json.at(1), "incarnation"))};
 }
 
 LinkMessage linkAdvertFromJson(const Json &json)
 {
     LinkAdvert message;
     message.isLeaving = json.at(0).get<bool>();
-    message.configVersion = json.at(1).get<std::uint64_t>();
+    message.configVersion = counterFromJson(json.at(1), "version of the configuration");
     for (const Json &cell : json.at(2)) {
         message.cells.push_back(advertFromJson(cell));
     }
-    message.operatorTableVersion = RowVersion(json.size() > 3 ? json.at(3).get<std::uint64_t>() : 0); // Absent in earlier versions.
+    message.operatorTableVersion
+        = RowVersion(json.size() > 3 ? counterFromJson(json.at(3), "version of the operators' table") : 0); // Absent in earlier versions.
     return message;
 }
 
 LinkMessage submitFromJson(const Json &json)
 {
-    return LinkSubmit{CallId(json.at(0).get<std::uint64_t>()),
+    return LinkSubmit{CallId(counterFromJson(json.at(0), "call")),
                       CellName(json.at(1).get<std::string>()),
                       JobId(json.at(2).get<std::string>()),
                       specFromJson(json.at(3)),
@@ -120,31 +130,32 @@
 LinkMessage submitReplyFromJson(const Json &json)
 {
     LinkSubmitReply message;
-    message.call = CallId(json.at(0).get<std::uint64_t>());
-    message.answer.verdict = static_cast<SubmitVerdict>(json.at(1).get<int>());
+    message.call = CallId(counterFromJson(json.at(0), "call"));
+    message.answer.verdict = enumFromJson(json.at(1), "verdict", SubmitVerdict::Unknown);
     message.answer.reason = json.at(2).get<std::string>();
-    if (json.at(3).get<std::int64_t>() >= 0) {
-        message.answer.retryAfter = toDuration(json.at(3));
+    if (integerFromJson<std::int64_t>(json.at(3), "retry after", NoRetryMs) != NoRetryMs) {
+        message.answer.retryAfter = millisecondsFromJson(json.at(3), "retry after", Duration::max());
     }
-    message.answer.state = static_cast<JobState>(json.at(4).get<int>());
+    message.answer.state = enumFromJson(json.at(4), "state", JobState::Cancelled);
     return message;
 }
 
 LinkMessage jobQuestionFromJson(const Json &json)
 {
-    return LinkJobQuestion{CallId(json.at(0).get<std::uint64_t>()), CellName(json.at(1).get<std::string>()),
-                           JobId(json.at(2).get<std::string>()), static_cast<JobQuestion>(json.at(3).get<int>())};
+    return LinkJobQuestion{CallId(counterFromJson(json.at(0), "call")), CellName(json.at(1).get<std::string>()),
+                           JobId(json.at(2).get<std::string>()), enumFromJson(json.at(3), "question", JobQuestion::Cancel)};
 }
 
 LinkMessage jobReplyFromJson(const Json &json)
 {
-    return LinkJobReply{CallId(json.at(0).get<std::uint64_t>()),
-                        {static_cast<JobAnswer::Kind>(json.at(1).get<int>()), static_cast<JobState>(json.at(2).get<int>())}};
+    return LinkJobReply{
+        CallId(counterFromJson(json.at(0), "call")),
+        {enumFromJson(json.at(1), "kind", JobAnswer::Kind::Unknown), enumFromJson(json.at(2), "state", JobState::Cancelled)}};
 }
 
 LinkMessage withdrawFromJson(const Json &json)
 {
-    return LinkWithdraw{CallId(json.at(0).get<std::uint64_t>()), CellName(json.at(1).get<std::string>())};
+    return LinkWithdraw{CallId(counterFromJson(json.at(0), "call")), CellName(json.at(1).get<std::string>())};
 }
 
 /** Decoders, by the index of the alternative in LinkMessage. */
@@ -162,13 +173,15 @@
 {
     try {
         const Json json = fromCborText(bytes);
-        const auto type = json.at(0).get<std::size_t>();
+        const auto type = integerFromJson<std::size_t>(json.at(0), "type");
         if (type >= std::size(Decoders)) {
             return makeError(ErrorCode::BadInput, "unknown type of message " + std::to_string(type));
         }
         return Decoders[type](json.at(1));
     } catch (const Json::exception &error) {
         return makeError(ErrorCode::BadInput, error.what());
+    } catch (const CborError &error) {
+        return makeError(ErrorCode::BadInput, error.what());
     }
 }
 
