--- a/src/node/tests/peer_bus_test.cpp
+++ b/src/node/tests/peer_bus_test.cpp
@@ -107,4 +107,25 @@
     BOOST_TEST(!this->left.bus->links().isLinked(this->right.record.name));
 }
 
+// Guards against a row of an instance whose address can't be dialled: a port out of range, or a text that is no address.
+BOOST_FIXTURE_TEST_CASE(OddAddressesDontDisturbOtherLinks, TwoBuses)
+{
+    std::vector<InstanceRecord> records{this->right.record};
+    for (const std::string address : {"", ":", "[", "[]:1", ":7720", "127.0.0.1", "127.0.0.1:", "127.0.0.1:0", "127.0.0.1:65536",
+                                      "127.0.0.1:-1", "127.0.0.1:99999999999999999999", "host:7720", "127.0.0.1:77x", "\xff\xfe:1"}) {
+        records.push_back(
+            {InstanceName("odd-" + std::to_string(records.size())), Incarnation(1), NetAddress(address), FailureDomain("d"), 1, false});
+    }
+    records.push_back(
+        {InstanceName("odd-large"), Incarnation(1), NetAddress(std::string(65536, '1') + ":1"), FailureDomain("d"), 1, false});
+    const NodeLinks links = this->left.bus->links();
+    links.setPeers(records);
+    BOOST_TEST(this->runUntil([&] { return links.isLinked(InstanceName("right")); }));
+    this->runUntil([] { return false; }, 1s); // Several attempts to dial the others.
+    BOOST_TEST(this->left.openedCount == 1U);
+    BOOST_TEST(links.isLinked(InstanceName("right")));
+    BOOST_TEST(links.send(InstanceName("right"), "request"));
+    BOOST_TEST(this->runUntil([this] { return this->left.replies.size() == 2; })); // The first one is to the hello.
+}
+
 BOOST_AUTO_TEST_SUITE_END()
