Endpoints that have left are taken out of the stored roster

Callers saw accepted jobs wait for 9.2 s after each change of a cell's leader, although every endpoint that was still there had answered the new leader.

Cause: the roster names the endpoints that a former leader may have used, and a new leader starts recovered tasks only once all of them have listed their runs, or after 8 s and the longest lease. The leader drops an endpoint that has left from its own table, but the roster was stored only when an endpoint came. So endpoints that left seconds or minutes ago held up every later leader, and a leader that had waited for one left it in the roster for the next one.

The leader now stores the roster without endpoints that are unregistered, have listed their runs to it (or whose former leases have expired), and have no run, no end that awaits the store and no order that may arrive late. Nothing can run on them on its orders, so the next leader has nothing to ask them. Such an endpoint counts as not in the roster from the moment the transaction is sent; if it registers again, it gets no run before it is stored again. The transaction is not hurried: it goes with the next renewal.

Ruled out: endpoints that died together with the leader still have to be waited for, as the former leader may be cut off with them.

EndpointThatLeftUnderAFormerLeader..., EndpointThatCrashed..., EndpointThatLeftBetweenTwoLeaders... and UnregisteredEndpointStaysInTheRoster... failed before; EndpointThatRegistersAgain... guards the change itself.

--- a/src/cells/cell_dispatch.cpp
+++ b/src/cells/cell_dispatch.cpp
@@ -554,6 +554,7 @@
     const bool isNewBirth = record.born && record.born != endpoint.record.born;
     endpoint.record = record;
     endpoint.isRegistered = true;
+    this->isRosterDirty = this->isRosterDirty || !endpoint.isInRoster;
     if (!endpoint.born) {
         endpoint.born = record.born;
     } else if (isNewBirth && *record.born > *endpoint.born && this->phase != Phase::Ended) {
--- a/src/cells/cell_endpoint.cpp
+++ b/src/cells/cell_endpoint.cpp
@@ -228,4 +228,9 @@
                                [](const auto &entry) { return entry.second.awaits.has_value() || entry.second.awaitsRecovery; });
 }
 
+bool CellEndpoint::hasStrayOrders(TimePoint now) const
+{
+    return std::ranges::any_of(this->strayOrders, [now](const StrayOrder &order) { return now < order.until; });
+}
+
 } // namespace Tanagertally::Cells
--- a/src/cells/cell_endpoint.h
+++ b/src/cells/cell_endpoint.h
@@ -190,6 +190,9 @@
     /** @return Whether some end must not be acknowledged yet. */
     bool hasUnsettledEnds() const;
 
+    /** @return Whether a start order may still be carried out by a new incarnation. */
+    bool hasStrayOrders(TimePoint now) const;
+
 private:
     RunIndex &runIndex;
     LeaseTerms lease;
--- a/src/cells/cell_leader.cpp
+++ b/src/cells/cell_leader.cpp
@@ -51,9 +51,11 @@
         this->isRosterDirty = true;
     }
     this->isCrashRowDirty = this->crashes.onRegistry(records) || this->isCrashRowDirty;
-    std::erase_if(this->endpoints, [](const auto &entry) {
+    std::erase_if(this->endpoints, [this, now](const auto &entry) {
         const CellEndpoint &endpoint = *entry.second;
-        return !endpoint.isRegistered && endpoint.hasListedRuns && endpoint.runs.empty() && !endpoint.isHoldInFlight;
+        const bool isErased = this->hasLeft(now, endpoint) && !endpoint.isHoldInFlight;
+        this->isRosterOutdated = this->isRosterOutdated || (isErased && endpoint.isInRoster);
+        return isErased;
     });
     this->advance(now);
 }
--- a/src/cells/cell_leader.h
+++ b/src/cells/cell_leader.h
@@ -151,6 +151,7 @@
         std::unordered_map<EndpointName, std::uint64_t>
             lastListedEnds; ///< By endpoint: highest number of the ends that the stored progress covers.
         std::vector<EndpointName> roster; ///< Endpoints of the roster that it stores.
+        bool storesRoster = false; ///< Whether it stores `roster`.
         bool storesCrashes = false; ///< Whether it stores `crashes`.
         std::vector<JobId> removedJobs; ///< Ended jobs whose rows it removes.
         bool releasesLead = false; ///< Whether it releases the lead.
@@ -219,7 +220,8 @@
     void flush(TimePoint now);
     void addSubmissions(StoreTransaction &transaction);
     void addProgress(StoreTransaction &transaction);
-    void addRoster(StoreTransaction &transaction);
+    void addRoster(TimePoint now, StoreTransaction &transaction);
+    bool hasLeft(TimePoint now, const CellEndpoint &endpoint) const;
     void addCrashes(TimePoint now, StoreTransaction &transaction);
     void addRemovals(TimePoint now, StoreTransaction &transaction);
     bool isCommitDue(TimePoint now) const;
@@ -291,7 +293,8 @@
     Batch batch; ///< Contents of the transaction in flight.
     std::vector<JobId> dirtyJobs; ///< Jobs whose progress has to be stored.
     bool hasUrgentProgress = false; ///< Whether one of `dirtyJobs` has ended.
-    bool isRosterDirty = false; ///< Whether the roster has to be stored.
+    bool isRosterDirty = false; ///< Whether the stored roster lacks an endpoint.
+    bool isRosterOutdated = false; ///< Whether the stored roster has an endpoint that has left; stored with the next transaction.
     TimePoint dirtySince; ///< When `dirtyJobs` last became non-empty.
     TimePoint lastCommitAt; ///< When a transaction was last sent.
     std::unordered_map<JobId, std::vector<CallId>> cancelCalls; ///< Calls that await the cancellation of a job.
--- a/src/cells/cell_leader_store.cpp
+++ b/src/cells/cell_leader_store.cpp
@@ -114,7 +114,7 @@
             this->markProgressDirty(now, *job);
         }
     }
-    this->isRosterDirty = this->isRosterDirty || !rejected.roster.empty();
+    this->isRosterDirty = this->isRosterDirty || rejected.storesRoster;
     this->isCrashRowUrgent = this->isCrashRowUrgent || rejected.storesCrashes;
     this->flush(now);
 }
@@ -139,7 +139,7 @@
     StoreTransaction transaction;
     this->addSubmissions(transaction);
     this->addProgress(transaction);
-    this->addRoster(transaction);
+    this->addRoster(now, transaction);
     this->addCrashes(now, transaction);
     this->addRemovals(now, transaction);
     this->batch.releasesLead = this->isReleaseRequested && this->pendingSubmissions.empty() && this->dirtyJobs.empty();
@@ -204,20 +204,36 @@
     }
 }
 
-void CellLeader::addRoster(StoreTransaction &transaction)
+void CellLeader::addRoster(TimePoint now, StoreTransaction &transaction)
 {
-    if (!this->isRosterDirty) {
+    for (const auto &[name, endpoint] : this->endpoints) {
+        if (endpoint->isInRoster && this->hasLeft(now, *endpoint)) {
+            endpoint->isInRoster = false; // If it registers again, it gets no runs before it is stored again.
+            this->isRosterOutdated = true;
+        }
+    }
+    if (!this->isRosterDirty && !this->isRosterOutdated) {
         return;
     }
     this->isRosterDirty = false;
+    this->isRosterOutdated = false;
     std::vector<EndpointRecord> roster;
     for (const auto &[name, endpoint] : this->endpoints) {
-        roster.push_back(endpoint->record);
-        this->batch.roster.push_back(name);
+        if (!this->hasLeft(now, *endpoint)) {
+            roster.push_back(endpoint->record);
+            this->batch.roster.push_back(name);
+        }
     }
+    this->batch.storesRoster = true;
     transaction.writes.push_back({rosterKey(this->options.cell), encodeRoster(roster)});
 }
 
+bool CellLeader::hasLeft(TimePoint now, const CellEndpoint &endpoint) const
+{
+    const bool hasNoRuns = endpoint.runs.empty() && (endpoint.hasListedRuns || this->isRecoverySettled);
+    return !endpoint.isRegistered && hasNoRuns && !endpoint.hasUnsettledEnds() && !endpoint.hasStrayOrders(now);
+}
+
 void CellLeader::addCrashes(TimePoint now, StoreTransaction &transaction)
 {
     this->isCrashRowDirty = this->crashes.forgetOld(now) || this->isCrashRowDirty;
--- a/src/cells/tests/leader_test.cpp
+++ b/src/cells/tests/leader_test.cpp
@@ -26,6 +26,13 @@
     {
         return this->world.advanceUntil([&] { return this->world.shows(this->leader, job, state); }, limit);
     }
+
+    std::size_t storedRosterSize() const
+    {
+        const RowKey key = rosterKey(CellName("cell"));
+        const std::vector<Row> rows = this->world.store.read({key.table, key.partition, key.key, 1}).rows;
+        return rows.empty() ? 0 : decodeRoster(rows.front().value).value().size();
+    }
 };
 
 } // namespace
@@ -238,6 +245,92 @@
     BOOST_TEST(this->world.violations.empty());
 }
 
+// Guards against a new leader that waits for the leases of endpoints that left long ago before it starts recovered tasks.
+BOOST_FIXTURE_TEST_CASE(EndpointThatLeftUnderAFormerLeaderDoesNotDelayRecoveredTasks, OneLeader)
+{
+    this->world.advanceTime(100ms);
+    this->world.endpoints[0].isUp = false;
+    this->world.registerEndpoints(this->leader);
+    this->world.advanceTime(2s);
+    this->world.workTime = 400ms;
+    this->world.submit(this->leader, Job, 4);
+    this->world.advanceTime(100ms);
+    this->world.leaders[0].isUp = false;
+    this->leader = this->world.addLeader();
+    BOOST_TEST(this->reachesState(Job, JobState::Done));
+    BOOST_TEST(this->world.violations.empty());
+}
+
+// Guards against a crashed endpoint that stays in the stored roster because its runs were lost after it had left the registry.
+BOOST_FIXTURE_TEST_CASE(EndpointThatCrashedUnderAFormerLeaderDoesNotDelayRecoveredTasks, OneLeader)
+{
+    this->world.workTime = 400ms;
+    this->world.submit(this->leader, Job, 4);
+    this->world.advanceTime(100ms);
+    this->world.endpoints[0].isUp = false;
+    this->world.registerEndpoints(this->leader);
+    this->world.advanceTime(5s);
+    BOOST_TEST(this->world.shows(this->leader, Job, JobState::Done));
+    const JobId fresh("00000000000000a2");
+    this->world.submit(this->leader, fresh, 4);
+    this->world.advanceTime(100ms);
+    this->world.leaders[0].isUp = false;
+    this->leader = this->world.addLeader();
+    BOOST_TEST(this->reachesState(fresh, JobState::Done));
+    BOOST_TEST(this->world.violations.empty());
+}
+
+// Guards against a wait that each leader repeats for an endpoint that left without a leader.
+BOOST_FIXTURE_TEST_CASE(EndpointThatLeftBetweenTwoLeadersDelaysOnlyTheFirstOfThem, OneLeader)
+{
+    this->world.advanceTime(100ms);
+    this->world.leaders[0].isUp = false;
+    this->world.endpoints[0].isUp = false;
+    this->leader = this->world.addLeader();
+    this->world.advanceTime(12s);
+    this->world.workTime = 400ms;
+    this->world.submit(this->leader, Job, 4);
+    this->world.advanceTime(100ms);
+    this->world.leaders[1].isUp = false;
+    this->leader = this->world.addLeader();
+    BOOST_TEST(this->reachesState(Job, JobState::Done));
+    BOOST_TEST(this->world.violations.empty());
+}
+
+// Guards against runs that the next leader does not find: the registry drops a live endpoint while the store is down.
+BOOST_FIXTURE_TEST_CASE(UnregisteredEndpointStaysInTheRosterUntilItsRunsHaveEnded, OneLeader)
+{
+    this->world.workTime = 1500ms;
+    this->world.submit(this->leader, Job, 4);
+    this->world.advanceTime(100ms);
+    this->world.leaders[0].leader->setEndpoints(this->world.now, {});
+    this->world.advanceTime(1100ms);
+    BOOST_TEST(this->storedRosterSize() == 2U);
+    this->world.advanceTime(3s);
+    BOOST_TEST(this->world.shows(this->leader, Job, JobState::Done));
+    BOOST_TEST(this->storedRosterSize() == 0U);
+}
+
+// Guards against runs that the next leader does not find: an endpoint that has left the stored roster registers again.
+BOOST_FIXTURE_TEST_CASE(EndpointThatRegistersAgainIsStoredBeforeItIsUsed, OneLeader)
+{
+    this->world.advanceTime(100ms);
+    char digit = '0';
+    for (const Duration absence : {5ms, 30ms, 600ms, 3000ms}) {
+        this->world.leaders[0].leader->setEndpoints(this->world.now, {});
+        this->world.advanceTime(absence);
+        this->world.registerEndpoints(this->leader);
+        const std::size_t startsBefore = this->world.startCount;
+        this->world.workTime = 100ms;
+        this->world.submit(this->leader, JobId(std::string("00000000000000b") + digit++), 4);
+        this->world.advanceUntil([&] { return this->world.startCount > startsBefore; }, 2s);
+        BOOST_TEST(this->world.startCount > startsBefore);
+        BOOST_TEST(this->storedRosterSize() == 2U);
+        this->world.advanceTime(1s);
+    }
+    BOOST_TEST(this->world.violations.empty());
+}
+
 BOOST_FIXTURE_TEST_CASE(BestEffortJobIsAnsweredAtItsEndAndNotStored, OneLeader)
 {
     this->world.advanceTime(100ms);
