Recovered tasks count as waiting work until they are accounted for

Cause: a leader tells the other instances how much work waits in its cell, and they choose the cell of a new job by it. The sum went over the jobs that are ready. The tasks that a new leader recovers are not ready before every endpoint has listed its runs, so for up to 9.2 s a cell with hundreds of recovered jobs looked as if nothing waited there. An accepted job stays in its cell.

The lead of one cell, which had 10 endpoints left, was taken at 25.59 s with 551 jobs and settled at 34.70 s with 835. From 25.6 to 34.7 s it accepted 544 jobs, the others, with 12 endpoints each, 388 and 347.

Tasks that nobody has accounted for are added to the sum. Those that still run are adopted as soon as their endpoint answers, so they are counted for a moment only.

RecoveredTasksCountAsWaitingWorkBeforeTheyAreReleased failed before (0 instead of 6400).

--- a/src/cells/cell_job.cpp
+++ b/src/cells/cell_job.cpp
@@ -213,6 +213,19 @@
     return work;
 }
 
+double CellJob::unaccountedWork() const
+{
+    double work = 0;
+    if (!this->isRecovering || isFinal(this->state)) {
+        return work;
+    }
+    for (std::uint32_t step = 0; step < this->tasks.size(); ++step) {
+        const auto count = std::ranges::count(this->tasks[step], TaskPhase::Unaccounted, &TaskRecord::phase);
+        work += static_cast<double>(count) * estimatedTaskWork(this->spec.steps[step]);
+    }
+    return work;
+}
+
 void CellJob::unblock()
 {
     for (std::uint32_t step = 0; step < this->tasks.size(); ++step) {
--- a/src/cells/cell_job.h
+++ b/src/cells/cell_job.h
@@ -128,6 +128,9 @@
     /** @return Work of the waiting tasks in core-milliseconds, by the caller's estimates. */
     double waitingWork() const;
 
+    /** @return Work of the recovered tasks that are not accounted for yet, in core-milliseconds, by the caller's estimates. */
+    double unaccountedWork() const;
+
 private:
     void unblock();
     bool isReady(std::uint32_t step) const;
--- a/src/cells/cell_leader.cpp
+++ b/src/cells/cell_leader.cpp
@@ -141,6 +141,7 @@
         if (job->state == JobState::Queued) {
             ++load.pendingJobs[job->terms.queue];
         }
+        load.waitingWork += job->unaccountedWork();
     }
     for (const JobRank &rank : this->readyJobs) {
         load.waitingWork += this->findJob(rank.id)->waitingWork();
--- a/src/cells/cell_leader.h
+++ b/src/cells/cell_leader.h
@@ -36,7 +36,7 @@
     std::int64_t freeCpu = 0; ///< Unused part of `capacityCpu`.
     std::int64_t rateCpu = 0; ///< Capacity at the endpoints' real rate, in thousandths of a core; 0 if it isn't known.
     std::int64_t usableCpu = -1; ///< Part of `freeCpu` that tasks of a typical demand can use; negative if it isn't known.
-    double waitingWork = 0; ///< Estimated work of tasks that have not started, in core-milliseconds.
+    double waitingWork = 0; ///< Estimated work of tasks that have not started, or may not have, in core-milliseconds.
     std::map<QueueName, std::uint64_t> pendingJobs; ///< Number of accepted jobs without a started task, by queue.
     std::vector<std::string> labels; ///< Distinct labels of the registered endpoints, such as their racks.
 };
--- a/src/cells/tests/leader_test.cpp
+++ b/src/cells/tests/leader_test.cpp
@@ -297,6 +297,23 @@
     BOOST_TEST(this->world.violations.empty());
 }
 
+// Guards against instances that send a recovering cell their jobs because it seems to have nothing to do: it can't give them away again.
+BOOST_FIXTURE_TEST_CASE(RecoveredTasksCountAsWaitingWorkBeforeTheyAreReleased, OneLeader)
+{
+    this->world.workTime = 400ms;
+    this->world.submit(this->leader, Job, 20);
+    this->world.advanceTime(100ms);
+    const double work = this->world.leaders[0].leader->load().waitingWork;
+    this->world.endpoints[0].isReachable = false;
+    this->world.leaders[0].isUp = false;
+    this->leader = this->world.addLeader();
+    this->world.advanceTime(1s);
+    BOOST_TEST(work > 0);
+    BOOST_TEST(this->world.leaders[1].leader->load().waitingWork >= work);
+    BOOST_TEST(this->reachesState(Job, JobState::Done, 20s));
+    BOOST_TEST(this->world.leaders[1].leader->load().waitingWork == 0);
+}
+
 // Guards against runs that the next leader does not find: the registry drops a live endpoint while the store is down.
 BOOST_FIXTURE_TEST_CASE(UnregisteredEndpointStaysInTheRosterUntilItsRunsHaveEnded, OneLeader)
 {
