--- a/src/cells/cell_leader.h
+++ b/src/cells/cell_leader.h
@@ -37,7 +37,7 @@
     std::int64_t freeCpu = 0; ///< Unused part of `capacityCpu`.
     std::int64_t rateCpu = 0; ///< Capacity at the endpoints' real rate, in thousandths of a core; 0 if it isn't known.
     std::int64_t usableCpu = -1; ///< Part of `freeCpu` that tasks of a typical demand can use; negative if it isn't known.
-    double waitingWork = 0; ///< Estimated work of tasks that have not started, in core-milliseconds.
+    double waitingWork = 0; ///< Estimated work of tasks that have not started, or may not have, in core-milliseconds.
     std::map<QueueName, std::uint64_t> pendingJobs; ///< Number of accepted jobs without a started task, by queue.
     std::vector<std::string> labels; ///< Distinct labels of the registered endpoints, such as their racks.
 };
@@ -154,6 +154,7 @@
         std::unordered_map<EndpointName, std::uint64_t>
             lastListedEnds; ///< By endpoint: highest number of the ends that the stored progress covers.
         std::vector<EndpointName> roster; ///< Endpoints of the roster that it stores.
+        bool storesRoster = false; ///< Whether it stores `roster`.
         bool storesCrashes = false; ///< Whether it stores `crashes`.
         std::vector<JobId> removedJobs; ///< Ended jobs whose rows it removes.
         bool releasesLead = false; ///< Whether it releases the lead.
@@ -230,7 +231,8 @@
     void flush(TimePoint now);
     void addSubmissions(StoreTransaction &transaction);
     void addProgress(StoreTransaction &transaction);
-    void addRoster(StoreTransaction &transaction);
+    void addRoster(TimePoint now, StoreTransaction &transaction);
+    bool hasLeft(TimePoint now, const CellEndpoint &endpoint) const;
     void addCrashes(TimePoint now, StoreTransaction &transaction);
     void addRemovals(TimePoint now, StoreTransaction &transaction);
     bool isCommitDue(TimePoint now) const;
@@ -304,7 +306,8 @@
     Batch batch; ///< Contents of the transaction in flight.
     std::vector<JobId> dirtyJobs; ///< Jobs whose progress has to be stored.
     bool hasUrgentProgress = false; ///< Whether one of `dirtyJobs` has ended.
-    bool isRosterDirty = false; ///< Whether the roster has to be stored.
+    bool isRosterDirty = false; ///< Whether the stored roster lacks an endpoint.
+    bool isRosterOutdated = false; ///< Whether the stored roster has an endpoint that has left; stored with the next transaction.
     TimePoint dirtySince; ///< When `dirtyJobs` last became non-empty.
     TimePoint lastCommitAt; ///< When a transaction was last sent.
     std::unordered_map<JobId, std::vector<CallId>> cancelCalls; ///< Calls that await the cancellation of a job.
