Crashes under unconfirmed runs count as evidence against a task

Cause as far as read: a run whose start was not confirmed made its task run alone and no more, so that only the bound of five losses of any kind ended it. Where answers of starts are lost and each crash comes within 10 ms, no run is confirmed. With a loss that a change of leader forgets, five losses are one too many.

Three crashes under any runs, two of them while the task was alone, now make it deadly; three such losses wait for the evidence first. A healthy task would have to meet three endpoints that go down between their last answer and the start, two of them empty. Endpoints that were cut off answer again, which forgets the loss.

Two of the three new tests of CrashHistory failed before; the one for shared crashes passed before and after. Not covered: a loss that is excused by a common cause and turns out to be a crash is still forgotten.

--- a/src/cells/crash_history.cpp
+++ b/src/cells/crash_history.cpp
@@ -8,6 +8,9 @@
 namespace {
 
 constexpr std::size_t CrashesUntilDeadly = 2; // Callers accept that a task under which two endpoints have crashed is given up.
+// The same where no run was confirmed. An endpoint seldom crashes between the order and its answer by chance, and rarely thrice.
+constexpr std::size_t UnconfirmedCrashesUntilDeadly = 3;
+constexpr std::size_t UnconfirmedLossesAlone = 2; // Of these, those while the task ran alone; the first one may be shared.
 constexpr std::size_t MaxLosses = 5; // Of one task, certain or not; a task must not crash more endpoints.
 constexpr Duration EvidenceTimeout = std::chrono::seconds(8); // Crashed endpoints are back after some seconds.
 constexpr Duration LossRetention = std::chrono::seconds(120); // Callers ask for the state of a job for as long.
@@ -95,35 +98,47 @@
         return CrashVerdict::None;
     }
     std::size_t losses = 0;
+    std::size_t lossesAlone = 0;
+    std::size_t allCrashes = 0; // Losses that were crashes, whether or not the run was confirmed.
+    std::size_t crashesAlone = 0;
     std::size_t runsLost = 0; // Losses under a confirmed run of the task.
     std::size_t crashes = 0; // Those of them that were crashes.
     bool hasLostAlone = false;
     bool hasCrashedAlone = false;
-    bool isEvidenceDue = false;
+    bool isEvidenceDue = false; // Whether one of these losses may still turn out to be a crash.
+    bool isAnyEvidenceDue = false; // The same of all losses.
     for (const EndpointLoss &loss : this->lossList) {
         const LostTask *lost = findTask(loss, task);
         if (!lost) {
             continue;
         }
+        const bool isCrashed = loss.state == LossState::Crashed;
+        const bool mayBeConfirmed = !isCrashed && now < loss.at + EvidenceTimeout;
         ++losses;
+        lossesAlone += loss.wasAlone ? 1 : 0;
+        allCrashes += isCrashed ? 1 : 0;
+        crashesAlone += isCrashed && loss.wasAlone ? 1 : 0;
+        isAnyEvidenceDue = isAnyEvidenceDue || mayBeConfirmed;
         if (!lost->wasRunning) {
             continue;
         }
-        const bool isCrashed = loss.state == LossState::Crashed;
         ++runsLost;
         crashes += isCrashed ? 1 : 0;
         hasLostAlone = hasLostAlone || loss.wasAlone;
         hasCrashedAlone = hasCrashedAlone || (isCrashed && loss.wasAlone);
-        isEvidenceDue = isEvidenceDue || (!isCrashed && now < loss.at + EvidenceTimeout);
+        isEvidenceDue = isEvidenceDue || mayBeConfirmed;
     }
     if (losses == 0) {
         return CrashVerdict::None;
     }
-    if (losses >= MaxLosses || (crashes >= CrashesUntilDeadly && hasCrashedAlone)) {
+    const bool hasCrashedConfirmed = crashes >= CrashesUntilDeadly && hasCrashedAlone;
+    const bool hasCrashedUnconfirmed = allCrashes >= UnconfirmedCrashesUntilDeadly && crashesAlone >= UnconfirmedLossesAlone;
+    if (losses >= MaxLosses || hasCrashedConfirmed || hasCrashedUnconfirmed) {
         return CrashVerdict::Deadly;
     }
-    const bool mayBeDeadly = runsLost >= CrashesUntilDeadly && hasLostAlone;
-    return mayBeDeadly && isEvidenceDue ? CrashVerdict::AwaitEvidence : CrashVerdict::RunAlone;
+    const bool awaitsConfirmed = runsLost >= CrashesUntilDeadly && hasLostAlone && isEvidenceDue;
+    const bool awaitsUnconfirmed = losses >= UnconfirmedCrashesUntilDeadly && lossesAlone >= UnconfirmedLossesAlone && isAnyEvidenceDue;
+    return awaitsConfirmed || awaitsUnconfirmed ? CrashVerdict::AwaitEvidence : CrashVerdict::RunAlone;
 }
 
 bool CrashHistory::concerns(const JobId &job) const
--- a/src/cells/tests/crash_history_test.cpp
+++ b/src/cells/tests/crash_history_test.cpp
@@ -87,6 +87,41 @@
     BOOST_TEST(this->hasVerdict(Task, CrashVerdict::Deadly));
 }
 
+// Guards against a deadly task that is started for ever, as the answers of its starts are lost and no run of it is confirmed.
+BOOST_AUTO_TEST_CASE(RepeatedCrashesUnderUnconfirmedRunsAloneAreEvidence)
+{
+    this->crash(1, {Task, Neighbour}, false);
+    this->crash(2, {Task}, false);
+    BOOST_TEST(this->hasVerdict(Task, CrashVerdict::RunAlone));
+    this->crash(3, {Task}, false);
+    BOOST_TEST(this->hasVerdict(Task, CrashVerdict::Deadly));
+    BOOST_TEST(this->hasVerdict(Neighbour, CrashVerdict::RunAlone));
+}
+
+// Guards against a healthy task that is given up because endpoints crashed, beside others, before its starts arrived.
+BOOST_AUTO_TEST_CASE(SharedCrashesUnderUnconfirmedRunsAreNoEvidence)
+{
+    this->crash(1, {Task, Neighbour}, false);
+    this->crash(2, {Task, Neighbour}, false);
+    this->crash(3, {Task}, false);
+    BOOST_TEST(this->hasVerdict(Task, CrashVerdict::RunAlone));
+    BOOST_TEST(this->hasVerdict(Neighbour, CrashVerdict::RunAlone));
+}
+
+// Guards against a healthy task that is given up because endpoints were cut off before its starts arrived.
+BOOST_AUTO_TEST_CASE(UnconfirmedRunsOnEndpointsThatAnswerAgainAreNoEvidence)
+{
+    for (int number = 1; number <= 3; ++number) {
+        this->history.recordLoss(lossOf(number, {Task}, false));
+    }
+    BOOST_TEST(this->hasVerdict(Task, CrashVerdict::AwaitEvidence, Start + 3s));
+    BOOST_TEST(this->hasVerdict(Task, CrashVerdict::RunAlone, Start + 20s));
+    for (int number = 1; number <= 3; ++number) {
+        BOOST_TEST(this->history.onAnswered(EndpointName("e" + std::to_string(number)), std::nullopt));
+    }
+    BOOST_TEST(this->hasVerdict(Task, CrashVerdict::None));
+}
+
 BOOST_AUTO_TEST_CASE(OneCrashIsNotEnough)
 {
     this->crash(1, {Task});
