--- a/src/cells/cell_dispatch.cpp
+++ b/src/cells/cell_dispatch.cpp
@@ -759,25 +759,27 @@
         return;
     }
     TaskRecord &task = job->task(end.task);
-    const bool isUnaccounted = task.phase == TaskPhase::Unaccounted;
-    if (isCurrent && task.phase == TaskPhase::Placed) {
+    const bool endsPlacement = isCurrent && task.phase == TaskPhase::Placed;
+    if (endsPlacement) {
         --job->placedTasks;
     }
-    const bool counts = !isFinal(job->state) && ((isCurrent && task.phase == TaskPhase::Placed) || isUnaccounted);
-    if (counts && end.outcome == RunOutcome::Done) {
+    const bool isPlacedElsewhere = task.phase == TaskPhase::Placed && !isCurrent;
+    // The end is acknowledged, so it has to count whatever became of the task before it was listed.
+    const bool isOpen = !isFinal(job->state) && task.phase != TaskPhase::Done;
+    if (isOpen && end.outcome == RunOutcome::Done && !isPlacedElsewhere) {
         if (job->state == JobState::Queued) {
             job->state = JobState::Running;
         }
         job->markDone(end.task);
-    } else if (counts && end.outcome == RunOutcome::Failed) {
+    } else if (isOpen && end.outcome == RunOutcome::Failed) {
         task.lastEndpoint = endpoint.record.name;
-        if (job->markFailedRun(end.task)) {
+        if (job->markFailedRun(end.task, end.run)) {
             this->stopRuns(now, job->id);
-        } else if (!isUnaccounted) {
-            job->makeWaiting(end.task);
+        } else if (endsPlacement) {
+            this->repeatTask(*job, end.task);
         }
-    } else if (counts && !isUnaccounted) {
-        job->makeWaiting(end.task);
+    } else if (isOpen && endsPlacement) {
+        this->repeatTask(*job, end.task);
     }
     if (awaitsStore) {
         this->markProgressDirty(now, *job);
@@ -786,9 +788,7 @@
         this->finishBestEffort(now, job);
         return;
     }
-    if (!job->waiting().empty()) {
-        this->addToReadyJobs(now, *job);
-    }
+    this->addToReadyJobs(now, *job);
 }
 
 void CellLeader::recordRunTime(TimePoint now, CellEndpoint &endpoint, Duration took, const StepSpec &step, bool isStartKnown)
@@ -822,10 +822,20 @@
         job->task(ref).phase = TaskPhase::Unaccounted;
         return;
     }
-    job->makeWaiting(ref);
+    this->repeatTask(*job, ref);
     this->addToReadyJobs(now, *job);
 }
 
+void CellLeader::repeatTask(CellJob &job, const TaskRef &task)
+{
+    if (job.wasRecovered && !this->isRecoverySettled) {
+        // An endpoint that isn't listed yet may hold the end that uses up the task's attempts.
+        job.task(task).phase = TaskPhase::Unaccounted;
+        return;
+    }
+    job.makeWaiting(task);
+}
+
 void CellLeader::dropRuns(TimePoint now, CellEndpoint &endpoint, std::string_view reason)
 {
     if (!endpoint.runs.empty()) {
--- a/src/cells/cell_leader.h
+++ b/src/cells/cell_leader.h
@@ -270,6 +270,7 @@
     bool hasRunOf(const TaskRef &task) const;
     bool hasRunOf(const CellJob &job) const;
     void dropRun(TimePoint now, CellEndpoint &endpoint, TaskRef task, std::string_view reason);
+    void repeatTask(CellJob &job, const TaskRef &task);
     void dropRuns(TimePoint now, CellEndpoint &endpoint, std::string_view reason);
     void recordNoAnswer(TimePoint now, CellEndpoint &endpoint);
     CellEndpoint *findEndpoint(const EndpointName &name);
--- a/src/cells/store_rows.cpp
+++ b/src/cells/store_rows.cpp
@@ -123,7 +123,11 @@
     }
     Json failures = Json::array();
     for (const JobProgress::TaskFailures &task : progress.failures) {
-        failures.push_back({task.step, task.index, task.failures});
+        Json runs = Json::array();
+        for (const RunNumber run : task.runs) {
+            runs.push_back(run.value);
+        }
+        failures.push_back({task.step, task.index, task.failures, std::move(runs)});
     }
     return toCborText(Json::array({static_cast<int>(progress.state), std::move(done), std::move(failures)}));
 }
@@ -138,9 +142,16 @@
                 {integerFromJson<std::uint32_t>(task.at(0), "step"), integerFromJson<std::uint32_t>(task.at(1), "task")});
         }
         for (const Json &task : json.at(2)) {
-            progress.failures.push_back({integerFromJson<std::uint32_t>(task.at(0), "step"),
-                                         integerFromJson<std::uint32_t>(task.at(1), "task"),
-                                         integerFromJson<std::uint32_t>(task.at(2), "failures")});
+            JobProgress::TaskFailures failures{integerFromJson<std::uint32_t>(task.at(0), "step"),
+                                               integerFromJson<std::uint32_t>(task.at(1), "task"),
+                                               integerFromJson<std::uint32_t>(task.at(2), "failures"),
+                                               {}};
+            if (task.size() > 3) { // Former releases stored the number of failed runs only.
+                for (const Json &run : task.at(3)) {
+                    failures.runs.emplace_back(integerFromJson<std::uint64_t>(run, "run"));
+                }
+            }
+            progress.failures.push_back(std::move(failures));
         }
         return progress;
     });
