--- a/src/cells/cell_dispatch.cpp
+++ b/src/cells/cell_dispatch.cpp
@@ -828,7 +828,7 @@
 
 void CellLeader::repeatTask(CellJob &job, const TaskRef &task)
 {
-    if (job.wasRecovered && !this->isRecoverySettled) {
+    if (job.wasRecovered && !job.spec.isBestEffort && !this->isRecoverySettled) {
         // An endpoint that isn't listed yet may hold the end that uses up the task's attempts.
         job.task(task).phase = TaskPhase::Unaccounted;
         return;
--- a/src/node/link_message.cpp
+++ b/src/node/link_message.cpp
@@ -125,7 +125,7 @@
                       specFromJson(json.at(3)),
                       termsFromJson(json.at(4)),
                       json.at(5).get<bool>(),
-                      json.size() > 6 && !json.at(6).is_null() ? std::optional(toDuration(json.at(6)))
+                      json.size() > 6 && !json.at(6).is_null() ? std::optional(millisecondsFromJson(json.at(6), "patience", MaxEstimate))
                                                                : std::nullopt}; // Absent in earlier versions.
 }
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -138,8 +138,8 @@
             this->runActions(cell);
             return;
         }
-        if (this->links.send(view.leader, encodeLinkMessage(LinkSubmit{call, cell, pending.id, spec, terms, false,
-                                                                       pending.deadline - this->ports.now()}))) {
+        if (this->links.send(view.leader,
+                             encodeLinkMessage(LinkSubmit{call, cell, pending.id, spec, terms, false, this->patienceOf(pending)}))) {
             return;
         }
         pending.isAwaitingAnswer = false;
@@ -154,6 +154,11 @@
                          {SubmitVerdict::Refused, pending.triedCells.empty() ? "no-leader" : "no-cell-takes-it", NoCellRetryAfter, {}});
 }
 
+Duration Node::patienceOf(const PendingCall &pending) const
+{
+    return std::max(pending.deadline - this->ports.now(), Duration{});
+}
+
 void Node::resubmit(CallId call, PendingCall &pending)
 {
     const auto &[spec, terms] = *pending.job;
@@ -167,7 +172,7 @@
         this->runActions(cell);
         return;
     }
-    const LinkSubmit message{call, pending.cell, pending.id, spec, terms, true, pending.deadline - this->ports.now()};
+    const LinkSubmit message{call, pending.cell, pending.id, spec, terms, true, this->patienceOf(pending)};
     const bool isSent = !view.leader.empty() && !view.hasLeadEnded && view.leader != this->options.self.name
                         && this->links.send(view.leader, encodeLinkMessage(message));
     if (!isSent) {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -165,6 +165,7 @@
     void submitToCell(CallId call, PendingCall &pending);
     void withdraw(CallId call, const PendingCall &pending);
     void sendQuestion(CallId call, PendingCall &pending);
+    Duration patienceOf(const PendingCall &pending) const; ///< @return How long the caller still waits.
     void resubmit(CallId call, PendingCall &pending);
     void scheduleRetry(PendingCall &pending);
     void scheduleRetriesInCell(const CellName &cell, const InstanceName &formerLeader);
