A leader that hears of a higher token ends its lead at once

Cause: an advert changed the view of the cell, but not the leader that the same instance ran.

Evidence: LeaderThatHearsOfASuccessorGivesNoMoreOrders failed before and passes now; node_test 84 and cells_test 162 cases pass.

--- a/src/cells/cell_leader.cpp
+++ b/src/cells/cell_leader.cpp
@@ -98,6 +98,13 @@
     this->flush(now);
 }
 
+void CellLeader::yieldTo(const InstanceName &successor, FenceToken successorToken)
+{
+    assert(successorToken > this->chain.token());
+    this->leadEnded = {successor, successorToken};
+    this->endLead(successor.value + " leads with a higher fencing token", false);
+}
+
 bool CellLeader::isReleasing() const
 {
     return this->isReleaseRequested;
--- a/src/cells/cell_leader.h
+++ b/src/cells/cell_leader.h
@@ -99,6 +99,9 @@
     /** Releases the lead: the leader serves until the release is stored, then emits LeadEnded. */
     void release(TimePoint now);
 
+    /** Ends the lead, as another instance leads the cell under a higher token. @pre `successorToken` is higher than token(). */
+    void yieldTo(const InstanceName &successor, FenceToken successorToken);
+
     /** @return Whether release() was called. */
     bool isReleasing() const;
 
--- a/src/node/node_leads.cpp
+++ b/src/node/node_leads.cpp
@@ -168,6 +168,11 @@
     if (view.leader != from && advert.token < view.token) {
         return;
     }
+    const auto ledCell = this->ledCells.find(advert.cell);
+    if (ledCell != this->ledCells.end() && ledCell->second.leader->isLeading() && advert.token > ledCell->second.leader->token()) {
+        ledCell->second.leader->yieldTo(from, advert.token);
+        this->runActions(advert.cell);
+    }
     if (view.leader != from || view.hasLeadEnded) {
         this->log("lead-known", {{"cell", advert.cell.value}, {"leader", from.value}, {"token", std::to_string(advert.token.value)}});
     }
