--- a/src/cells/cell_dispatch.cpp
+++ b/src/cells/cell_dispatch.cpp
@@ -208,7 +208,9 @@
                              && endpoint.isRecordCurrent() && endpoint.isClockKnown() && now >= endpoint.avoidUntil
                              && endpoint.consecutiveFailures == 0;
     const bool isIsolating = endpoint.isReserved || endpoint.hasIsolatedRun();
-    return isAvailable && !isIsolating && (!endpoint.health.isSuspect() || (endpoint.runs.empty() && endpoint.health.isTrialDue(now)));
+    // A start order extends the leases of all runs.
+    return isAvailable && !isIsolating && !endpoint.hasUnstoppedRun()
+           && (!endpoint.health.isSuspect() || (endpoint.runs.empty() && endpoint.health.isTrialDue(now)));
 }
 
 PlacementPass &CellLeader::placementPass(TimePoint now, const ServiceName &service)
@@ -318,6 +320,18 @@
     return this->runIndex.contains(task);
 }
 
+bool CellLeader::hasRunOf(const CellJob &job) const
+{
+    for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
+        for (std::uint32_t index = 0; index < job.spec.steps[step].count; ++index) {
+            if (this->hasRunOf(TaskRef{job.id, step, index})) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
 void CellLeader::startRun(TimePoint now, CellJob &job, const TaskRef &task, CellEndpoint &endpoint)
 {
     TaskRecord &record = job.task(task);
@@ -554,6 +568,7 @@
     const bool isNewBirth = record.born && record.born != endpoint.record.born;
     endpoint.record = record;
     endpoint.isRegistered = true;
+    this->isRosterDirty = this->isRosterDirty || !endpoint.isInRoster;
     if (!endpoint.born) {
         endpoint.born = record.born;
     } else if (isNewBirth && *record.born > *endpoint.born && this->phase != Phase::Ended) {
@@ -694,6 +709,7 @@
         run.phase = this->canBeResubmitted(listed.task.job) ? RunPhase::Running : RunPhase::Stopping;
     }
     const bool isStopped = run.phase == RunPhase::Stopping;
+    run.mayReturn = isStopped;
     this->log(isWanted ? "run-adopted" : "run-unwanted", {{"job", listed.task.job.value},
                                                           {"task", toText(listed.task)},
                                                           {"run", std::to_string(listed.run.value)},
@@ -743,25 +759,27 @@
         return;
     }
     TaskRecord &task = job->task(end.task);
-    const bool isUnaccounted = task.phase == TaskPhase::Unaccounted;
-    if (isCurrent && task.phase == TaskPhase::Placed) {
+    const bool endsPlacement = isCurrent && task.phase == TaskPhase::Placed;
+    if (endsPlacement) {
         --job->placedTasks;
     }
-    const bool counts = !isFinal(job->state) && ((isCurrent && task.phase == TaskPhase::Placed) || isUnaccounted);
-    if (counts && end.outcome == RunOutcome::Done) {
+    const bool isPlacedElsewhere = task.phase == TaskPhase::Placed && !isCurrent;
+    // The end is acknowledged, so it has to count whatever became of the task before it was listed.
+    const bool isOpen = !isFinal(job->state) && task.phase != TaskPhase::Done;
+    if (isOpen && end.outcome == RunOutcome::Done && !isPlacedElsewhere) {
         if (job->state == JobState::Queued) {
             job->state = JobState::Running;
         }
         job->markDone(end.task);
-    } else if (counts && end.outcome == RunOutcome::Failed) {
+    } else if (isOpen && end.outcome == RunOutcome::Failed) {
         task.lastEndpoint = endpoint.record.name;
-        if (job->markFailedRun(end.task)) {
+        if (job->markFailedRun(end.task, end.run)) {
             this->stopRuns(now, job->id);
-        } else if (!isUnaccounted) {
-            job->makeWaiting(end.task);
+        } else if (endsPlacement) {
+            this->repeatTask(*job, end.task);
         }
-    } else if (counts && !isUnaccounted) {
-        job->makeWaiting(end.task);
+    } else if (isOpen && endsPlacement) {
+        this->repeatTask(*job, end.task);
     }
     if (awaitsStore) {
         this->markProgressDirty(now, *job);
@@ -770,9 +788,7 @@
         this->finishBestEffort(now, job);
         return;
     }
-    if (!job->waiting().empty()) {
-        this->addToReadyJobs(now, *job);
-    }
+    this->addToReadyJobs(now, *job);
 }
 
 void CellLeader::recordRunTime(TimePoint now, CellEndpoint &endpoint, Duration took, const StepSpec &step, bool isStartKnown)
@@ -806,10 +822,20 @@
         job->task(ref).phase = TaskPhase::Unaccounted;
         return;
     }
-    job->makeWaiting(ref);
+    this->repeatTask(*job, ref);
     this->addToReadyJobs(now, *job);
 }
 
+void CellLeader::repeatTask(CellJob &job, const TaskRef &task)
+{
+    if (job.wasRecovered && !job.spec.isBestEffort && !this->isRecoverySettled) {
+        // An endpoint that isn't listed yet may hold the end that uses up the task's attempts.
+        job.task(task).phase = TaskPhase::Unaccounted;
+        return;
+    }
+    job.makeWaiting(task);
+}
+
 void CellLeader::dropRuns(TimePoint now, CellEndpoint &endpoint, std::string_view reason)
 {
     if (!endpoint.runs.empty()) {
@@ -846,6 +872,7 @@
 
 void CellLeader::stopRuns(TimePoint now, const JobId &job)
 {
+    const bool isBestEffort = this->jobs.at(job)->spec.isBestEffort;
     for (auto &[name, endpoint] : this->endpoints) {
         for (auto &[task, run] : endpoint->runs) {
             if (task.job != job || run.phase == RunPhase::Stopping) {
@@ -854,6 +881,7 @@
             if (run.phase != RunPhase::Unconfirmed) {
                 run.phase = RunPhase::Stopping;
             }
+            run.mayReturn = isBestEffort;
             if (!run.isStopInFlight) {
                 this->orderStop(now, *endpoint, task, run);
             }
@@ -892,8 +920,12 @@
         endpoint.record.name, endpoint.record.address, this->chain.token(), std::nullopt, endpoint.acknowledgementToSend(now), Duration{}};
     // An endpoint that doesn't answer gets no lease extension; otherwise its leases would never expire and its runs never be repeated.
     if (endpoint.isClockKnown() && !endpoint.runs.empty() && endpoint.consecutiveFailures == 0) {
-        hold.deadlineMs = endpoint.estimatedClockMs(now) + toMs(this->options.lease.longest);
-        endpoint.recordGrant(*hold.deadlineMs);
+        // The leases lapse before the job of an unstopped run can return; the runs beside it are lost only if its stop isn't confirmed by
+        // then.
+        if (!endpoint.hasUnstoppedRun()) {
+            hold.deadlineMs = endpoint.estimatedClockMs(now) + toMs(this->options.lease.longest);
+            endpoint.recordGrant(*hold.deadlineMs);
+        }
         hold.maxDelay = endpoint.hasListedRuns ? HoldWait : Duration{};
     }
     endpoint.isHoldInFlight = true;
--- a/src/cells/cell_leader.cpp
+++ b/src/cells/cell_leader.cpp
@@ -9,8 +9,13 @@
 namespace {
 
 constexpr Duration LeadReadRetryInterval = std::chrono::milliseconds(200); // After a failed read of the lead row.
-// Instances detect a change of leader within 1.2 s and resubmit their jobs.
-constexpr Duration OrphanTimeout = std::chrono::milliseconds(1200);
+// Instances resubmit their jobs as soon as they hear of a new leader, which takes up to the first of these times, and the second one if
+// they have to open a link to it.
+constexpr Duration MinResubmissionTime = std::chrono::milliseconds(200);
+constexpr Duration MaxResubmissionTime = std::chrono::milliseconds(400);
+// The callers of an instance that was lost with its leader return 1.3 s after the loss, to an instance that may choose another cell. A stop
+// takes up to 50 ms.
+constexpr Duration OrphanTimeout = std::chrono::milliseconds(1150);
 constexpr Duration RecoveryMargin = std::chrono::milliseconds(200); // Covers the slowest clock and late timers.
 
 std::string toText(std::uint64_t number)
@@ -51,16 +56,23 @@
         this->isRosterDirty = true;
     }
     this->isCrashRowDirty = this->crashes.onRegistry(records) || this->isCrashRowDirty;
-    std::erase_if(this->endpoints, [](const auto &entry) {
+    std::erase_if(this->endpoints, [this, now](const auto &entry) {
         const CellEndpoint &endpoint = *entry.second;
-        return !endpoint.isRegistered && endpoint.hasListedRuns && endpoint.runs.empty() && !endpoint.isHoldInFlight;
+        const bool isErased = this->hasLeft(now, endpoint) && !endpoint.isHoldInFlight;
+        this->isRosterOutdated = this->isRosterOutdated || (isErased && endpoint.isInRoster);
+        return isErased;
     });
     this->advance(now);
 }
 
 void CellLeader::stopOrphans(TimePoint now)
 {
-    if (this->areOrphansStopped || now < this->claimedAt + OrphanTimeout) {
+    if (this->areOrphansStopped) {
+        return;
+    }
+    const bool isLossKnown = this->options.formerLeaderSeenAt != TimePoint();
+    const TimePoint lostAt = isLossKnown ? this->options.formerLeaderSeenAt : this->claimedAt;
+    if (now < std::clamp(lostAt + OrphanTimeout, this->leadingSince + MinResubmissionTime, this->leadingSince + MaxResubmissionTime)) {
         return;
     }
     this->areOrphansStopped = true;
@@ -69,6 +81,7 @@
         for (auto &[task, run] : endpoint->runs) {
             if (!this->jobs.contains(task.job) && run.phase == RunPhase::Running) {
                 run.phase = RunPhase::Stopping;
+                run.mayReturn = true;
                 this->orderStop(now, *endpoint, task, run);
             }
         }
@@ -85,6 +98,13 @@
     this->flush(now);
 }
 
+void CellLeader::yieldTo(const InstanceName &successor, FenceToken successorToken)
+{
+    assert(successorToken > this->chain.token());
+    this->leadEnded = {successor, successorToken};
+    this->endLead(successor.value + " leads with a higher fencing token", false);
+}
+
 bool CellLeader::isReleasing() const
 {
     return this->isReleaseRequested;
@@ -139,6 +159,7 @@
         if (job->state == JobState::Queued) {
             ++load.pendingJobs[job->terms.queue];
         }
+        load.waitingWork += job->unaccountedWork();
     }
     for (const JobRank &rank : this->readyJobs) {
         load.waitingWork += this->findJob(rank.id)->waitingWork();
@@ -228,6 +249,7 @@
         endpoint->isInRoster = true;
     }
     this->phase = Phase::Leading;
+    this->leadingSince = now;
     this->log("lead-taken", {{"token", toText(this->chain.token().value)},
                              {"jobs", toText(this->jobs.size())},
                              {"ended", toText(this->ended.size())},
@@ -290,6 +312,7 @@
         }
         this->stopStalledRuns(now, *endpoint);
     }
+    this->withdrawExpiredJobs(now);
     this->updateSpeeds(now);
     this->settleRecovery(now);
     this->stopOrphans(now);
@@ -327,7 +350,7 @@
         this->refuse(submission.calls, *submission.job, NotLeadingReason);
     }
     for (const auto &[id, call] : this->bestEffortCalls) {
-        this->refuse({&call, 1}, *this->jobs.at(id), LeadMovedReason);
+        this->refuse({&call.call, 1}, *this->jobs.at(id), LeadMovedReason);
     }
     for (const auto &[id, calls] : this->cancelCalls) {
         for (const CallId call : calls) {
--- a/src/cells/cell_leader.h
+++ b/src/cells/cell_leader.h
@@ -26,6 +26,7 @@
     InstanceName self; ///< Name of this instance.
     Incarnation incarnation; ///< Incarnation of this process.
     LeaseTerms lease;
+    TimePoint formerLeaderSeenAt{}; ///< When the former leader last gave a sign of life; unset if there was none.
     /** Returns whether the leader named by the lead row may be replaced; called at most once, before the lead is claimed. */
     std::function<bool(const LeadRecord &)> canReplace = [](const LeadRecord &) { return true; };
 };
@@ -36,7 +37,7 @@
     std::int64_t freeCpu = 0; ///< Unused part of `capacityCpu`.
     std::int64_t rateCpu = 0; ///< Capacity at the endpoints' real rate, in thousandths of a core; 0 if it isn't known.
     std::int64_t usableCpu = -1; ///< Part of `freeCpu` that tasks of a typical demand can use; negative if it isn't known.
-    double waitingWork = 0; ///< Estimated work of tasks that have not started, in core-milliseconds.
+    double waitingWork = 0; ///< Estimated work of tasks that have not started, or may not have, in core-milliseconds.
     std::map<QueueName, std::uint64_t> pendingJobs; ///< Number of accepted jobs without a started task, by queue.
     std::vector<std::string> labels; ///< Distinct labels of the registered endpoints, such as their racks.
 };
@@ -72,9 +73,11 @@
     /**
      * Submits a job; emits AnswerSubmission once the job is refused or stored, or for a best-effort job once it has ended.
      * @param mayHaveRun Whether the job was submitted to a leader of the cell before, which may have run it.
+     * @param expiresAt When the caller stops waiting; a best-effort job that has not ended by then is withdrawn.
      * @pre validateSpec() is empty.
      */
-    void submit(TimePoint now, CallId call, JobId id, JobSpec spec, JobTerms terms, bool mayHaveRun = false);
+    void submit(TimePoint now, CallId call, JobId id, JobSpec spec, JobTerms terms, bool mayHaveRun = false,
+                TimePoint expiresAt = TimePoint::max());
 
     /**
      * Evacuates the cell, or reopens it. An evacuated cell takes no new jobs and hands back best-effort jobs that were never started; from
@@ -96,6 +99,9 @@
     /** Releases the lead: the leader serves until the release is stored, then emits LeadEnded. */
     void release(TimePoint now);
 
+    /** Ends the lead, as another instance leads the cell under a higher token. @pre `successorToken` is higher than token(). */
+    void yieldTo(const InstanceName &successor, FenceToken successorToken);
+
     /** @return Whether release() was called. */
     bool isReleasing() const;
 
@@ -151,11 +157,18 @@
         std::unordered_map<EndpointName, std::uint64_t>
             lastListedEnds; ///< By endpoint: highest number of the ends that the stored progress covers.
         std::vector<EndpointName> roster; ///< Endpoints of the roster that it stores.
+        bool storesRoster = false; ///< Whether it stores `roster`.
         bool storesCrashes = false; ///< Whether it stores `crashes`.
         std::vector<JobId> removedJobs; ///< Ended jobs whose rows it removes.
         bool releasesLead = false; ///< Whether it releases the lead.
     };
 
+    /** A caller that waits for the end of a best-effort job. */
+    struct BestEffortCall {
+        CallId call;
+        TimePoint expiresAt; ///< When the caller stops waiting.
+    };
+
     /** A job whose end is stored. */
     struct EndedJob {
         JobState state = JobState::Done; ///< Final state.
@@ -172,7 +185,9 @@
 
     // cell_leader_jobs.cpp: submissions, queries and cancellation.
     void finishJob(TimePoint now, const JobId &id);
-    void submitBestEffort(TimePoint now, CallId call, const std::shared_ptr<CellJob> &job, bool mayHaveRun);
+    void submitBestEffort(TimePoint now, const BestEffortCall &call, const std::shared_ptr<CellJob> &job, bool wasSubmittedBefore);
+    void withdrawJob(TimePoint now, const JobId &id);
+    void withdrawExpiredJobs(TimePoint now);
     void adoptOrphans(CellJob &job);
     void planRoom(TimePoint now);
     std::map<ServiceName, RoomForecast> forecastRoom(TimePoint now) const;
@@ -219,7 +234,8 @@
     void flush(TimePoint now);
     void addSubmissions(StoreTransaction &transaction);
     void addProgress(StoreTransaction &transaction);
-    void addRoster(StoreTransaction &transaction);
+    void addRoster(TimePoint now, StoreTransaction &transaction);
+    bool hasLeft(TimePoint now, const CellEndpoint &endpoint) const;
     void addCrashes(TimePoint now, StoreTransaction &transaction);
     void addRemovals(TimePoint now, StoreTransaction &transaction);
     bool isCommitDue(TimePoint now) const;
@@ -255,7 +271,9 @@
     void adoptRun(TimePoint now, CellEndpoint &endpoint, const ListedRun &listed, std::int64_t clockMs);
     bool canBeResubmitted(const JobId &job) const;
     bool hasRunOf(const TaskRef &task) const;
+    bool hasRunOf(const CellJob &job) const;
     void dropRun(TimePoint now, CellEndpoint &endpoint, TaskRef task, std::string_view reason);
+    void repeatTask(CellJob &job, const TaskRef &task);
     void dropRuns(TimePoint now, CellEndpoint &endpoint, std::string_view reason);
     void recordNoAnswer(TimePoint now, CellEndpoint &endpoint);
     CellEndpoint *findEndpoint(const EndpointName &name);
@@ -271,6 +289,7 @@
     TimePoint nextLeadReadAt; ///< When to repeat the read of the lead row in phase Reading.
     bool isLeadReadInFlight = false; ///< Whether a read of the lead row is in flight in phase Reading.
     TimePoint claimedAt; ///< When the claim was stored.
+    TimePoint leadingSince; ///< When the cell's rows were read.
     bool isRecoverySettled = false; ///< Whether all runs of former leaders are accounted for.
     std::set<EndpointName> unlistedEndpoints; ///< Endpoints that a former leader may have used and that have not listed their runs yet.
     std::vector<CellAction> actions; ///< Emitted and not yet returned by takeActions().
@@ -291,11 +310,12 @@
     Batch batch; ///< Contents of the transaction in flight.
     std::vector<JobId> dirtyJobs; ///< Jobs whose progress has to be stored.
     bool hasUrgentProgress = false; ///< Whether one of `dirtyJobs` has ended.
-    bool isRosterDirty = false; ///< Whether the roster has to be stored.
+    bool isRosterDirty = false; ///< Whether the stored roster lacks an endpoint.
+    bool isRosterOutdated = false; ///< Whether the stored roster has an endpoint that has left; stored with the next transaction.
     TimePoint dirtySince; ///< When `dirtyJobs` last became non-empty.
     TimePoint lastCommitAt; ///< When a transaction was last sent.
     std::unordered_map<JobId, std::vector<CallId>> cancelCalls; ///< Calls that await the cancellation of a job.
-    std::unordered_map<JobId, CallId> bestEffortCalls; ///< Call that awaits the end of a best-effort job.
+    std::unordered_map<JobId, BestEffortCall> bestEffortCalls; ///< By the best-effort job whose end is awaited.
     std::map<TaskRef, RunOutcome> orphanEnds; ///< Ends of runs that former leaders started for jobs not known to this leader.
     bool areOrphansStopped = false; ///< Whether runs of unknown jobs are stopped because their jobs can't be resubmitted any more.
     ServiceRate serviceRate; ///< Measured while jobs wait for capacity.
--- a/src/cells/job_type.h
+++ b/src/cells/job_type.h
@@ -9,6 +9,11 @@
 
 namespace Tanagertally::Cells {
 
+/** Longest estimate and target duration of a job. Sums over its steps, times MaxStretch and LateFactor, stay within a Duration. */
+inline constexpr Duration MaxEstimate = std::chrono::hours(24);
+/** Largest factor on the ideal run time of a job. */
+inline constexpr double MaxStretch = 20;
+
 /** One step of a job: a number of identical tasks. */
 struct StepSpec {
     std::uint32_t count = 0; ///< Number of tasks.
@@ -126,6 +131,8 @@
 /** Refused without effect: the operators have evacuated the cell's failure domain. As the reason of an unknown verdict: the job may have
  * run, and can't go on there. */
 inline constexpr std::string_view EvacuatedReason = "evacuated";
+/** Verdict unknown: the caller stops waiting, and the job has not ended. */
+inline constexpr std::string_view NoAnswerInTimeReason = "no answer in time";
 /** Verdict unknown: a task of the job may have run, and the job can't end in time. */
 inline constexpr std::string_view TooLateReason = "too-late";
 /** The lead of the cell has moved; the submission has to be sent to the next leader. */
--- a/src/cells/tests/cell_world.h
+++ b/src/cells/tests/cell_world.h
@@ -48,6 +48,7 @@
     std::vector<std::string> violations; ///< Descriptions of violated invariants.
     std::function<CallOutcome()> storeOutcome = [] { return CallOutcome::Answered; }; ///< Outcome of the next transaction or read.
     std::function<CallOutcome()> orderOutcome = [] { return CallOutcome::Answered; }; ///< Outcome of the next order to an endpoint.
+    std::function<CallOutcome()> stopOutcome = [this] { return this->orderOutcome(); }; ///< Outcome of the next stop order.
     std::function<RunOutcome()> runOutcome = [] { return RunOutcome::Done; }; ///< Outcome of the next run.
     Duration workTime = std::chrono::milliseconds(60); ///< Estimate of submitted tasks, and run time of each run that starts.
     std::function<Duration(const StartRun &)> runTime = [this](const StartRun &) { return this->workTime; }; ///< Run time of the next run.
@@ -74,6 +75,9 @@
     /** Submits any job that was not submitted before. @return The call. */
     CallId submit(std::size_t leader, const JobId &id, JobSpec spec, JobTerms terms);
 
+    /** Withdraws the best-effort job of a submission. */
+    void withdraw(std::size_t leader, CallId call);
+
     /** Cancels a job. @return The call. */
     CallId cancel(std::size_t leader, const JobId &id);
 
@@ -118,6 +122,7 @@
     auto toIncarnation(const Order &order, Do operation);
     CellContent readContent(const CellName &cell);
     void checkStart(const TaskRef &task, RunNumber run);
+    void checkAttempts(const TaskRef &task);
     void checkAnswer(const AnswerSubmission &reply);
     template<typename Result, typename Do, typename OnResult>
     void call(std::size_t leader, CallOutcome outcome, Duration delay, Do operation, Result refused, Result unknown, OnResult onResult);
@@ -130,6 +135,9 @@
     std::set<JobId> refused; ///< Jobs that were refused as never run.
     std::set<JobId> started; ///< Jobs with a started run.
     std::map<TaskRef, TimePoint> acknowledgedDone; ///< Tasks whose successful end was acknowledged.
+    std::map<TaskRef, std::set<TimePoint>> acknowledgedFailures; ///< Times of failed runs whose ends were acknowledged.
+    std::map<TaskRef, TimePoint> lastStarts; ///< Time of the last start of each task.
+    std::map<JobId, std::uint32_t> maxAttempts; ///< By job; best-effort jobs are left out, as they may run again.
 };
 
 } // namespace Tanagertally::Cells::Test
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -134,11 +134,12 @@
         const auto ledCell = this->ledCells.find(cell);
         if (ledCell != this->ledCells.end()) {
             pending.leader = InstanceName();
-            ledCell->second.leader->submit(this->ports.now(), call, pending.id, spec, terms);
+            ledCell->second.leader->submit(this->ports.now(), call, pending.id, spec, terms, false, pending.deadline);
             this->runActions(cell);
             return;
         }
-        if (this->links.send(view.leader, encodeLinkMessage(LinkSubmit{call, cell, pending.id, spec, terms}))) {
+        if (this->links.send(view.leader,
+                             encodeLinkMessage(LinkSubmit{call, cell, pending.id, spec, terms, false, this->patienceOf(pending)}))) {
             return;
         }
         pending.isAwaitingAnswer = false;
@@ -153,6 +154,11 @@
                          {SubmitVerdict::Refused, pending.triedCells.empty() ? "no-leader" : "no-cell-takes-it", NoCellRetryAfter, {}});
 }
 
+Duration Node::patienceOf(const PendingCall &pending) const
+{
+    return std::max(pending.deadline - this->ports.now(), Duration{});
+}
+
 void Node::resubmit(CallId call, PendingCall &pending)
 {
     const auto &[spec, terms] = *pending.job;
@@ -162,12 +168,13 @@
         pending.isAwaitingAnswer = true;
         pending.leader = InstanceName();
         const CellName cell = pending.cell;
-        ledCell->second.leader->submit(this->ports.now(), call, pending.id, spec, terms, true);
+        ledCell->second.leader->submit(this->ports.now(), call, pending.id, spec, terms, true, pending.deadline);
         this->runActions(cell);
         return;
     }
+    const LinkSubmit message{call, pending.cell, pending.id, spec, terms, true, this->patienceOf(pending)};
     const bool isSent = !view.leader.empty() && !view.hasLeadEnded && view.leader != this->options.self.name
-                        && this->links.send(view.leader, encodeLinkMessage(LinkSubmit{call, pending.cell, pending.id, spec, terms, true}));
+                        && this->links.send(view.leader, encodeLinkMessage(message));
     if (!isSent) {
         pending.retryAt = this->ports.now() + MovedRetryDelay;
         return;
@@ -364,7 +371,7 @@
             if (pending.isAwaitingAnswer) {
                 this->withdraw(call, pending);
             }
-            this->onSubmitAnswer(call, {SubmitVerdict::Unknown, "no answer in time", {}, {}});
+            this->onSubmitAnswer(call, {SubmitVerdict::Unknown, std::string(NoAnswerInTimeReason), {}, {}});
         } else if (isExpired) {
             this->onJobAnswer(call, {JobAnswer::Kind::Unknown, JobState::Queued});
         } else {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -165,6 +165,7 @@
     void submitToCell(CallId call, PendingCall &pending);
     void withdraw(CallId call, const PendingCall &pending);
     void sendQuestion(CallId call, PendingCall &pending);
+    Duration patienceOf(const PendingCall &pending) const; ///< @return How long the caller still waits.
     void resubmit(CallId call, PendingCall &pending);
     void scheduleRetry(PendingCall &pending);
     void scheduleRetriesInCell(const CellName &cell, const InstanceName &formerLeader);
@@ -202,6 +203,7 @@
     // node_leads.cpp: choice of leaders.
     void planLeads(TimePoint now);
     void claim(const CellName &cell);
+    TimePoint lastSignOfLeader(const CellView &view) const; ///< @pre The cell is vacant.
     bool canReplace(const CellName &cell, const LeadRecord &lead) const;
     void applyStoredLead(const CellName &cell, const LeadEnded &lead);
     void releaseLeads(TimePoint now, std::span<const LeadCandidate> candidates);
--- a/src/node/tests/peer_bus_test.cpp
+++ b/src/node/tests/peer_bus_test.cpp
@@ -2,6 +2,9 @@
 #include "node/peer_bus.h"
 #include "process_tools.h"
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
 using namespace Tanagertally;
@@ -107,4 +110,47 @@
     BOOST_TEST(!this->left.bus->links().isLinked(this->right.record.name));
 }
 
+// Guards against a row of an instance whose address can't be dialled: a port out of range, or a text that is no address.
+BOOST_FIXTURE_TEST_CASE(OddAddressesDontDisturbOtherLinks, TwoBuses)
+{
+    std::vector<InstanceRecord> records{this->right.record};
+    for (const std::string address : {"", ":", "[", "[]:1", ":7720", "127.0.0.1", "127.0.0.1:", "127.0.0.1:0", "127.0.0.1:65536",
+                                      "127.0.0.1:-1", "127.0.0.1:99999999999999999999", "host:7720", "127.0.0.1:77x", "\xff\xfe:1"}) {
+        records.push_back(
+            {InstanceName("odd-" + std::to_string(records.size())), Incarnation(1), NetAddress(address), FailureDomain("d"), 1, false});
+    }
+    records.push_back(
+        {InstanceName("odd-large"), Incarnation(1), NetAddress(std::string(65536, '1') + ":1"), FailureDomain("d"), 1, false});
+    const NodeLinks links = this->left.bus->links();
+    links.setPeers(records);
+    BOOST_TEST(this->runUntil([&] { return links.isLinked(InstanceName("right")); }));
+    this->runUntil([] { return false; }, 1s); // Several attempts to dial the others.
+    BOOST_TEST(this->left.openedCount == 1U);
+    BOOST_TEST(links.isLinked(InstanceName("right")));
+    BOOST_TEST(links.send(InstanceName("right"), "request"));
+    BOOST_TEST(this->runUntil([this] { return this->left.replies.size() == 2; })); // The first one is to the hello.
+}
+
+// Guards against a planned stop that outlives its grace, as it waits for the closing handshake of an instance that is suspended.
+BOOST_FIXTURE_TEST_CASE(ShutDownDoesNotWaitForAPeerThatIsSilent, TwoBuses)
+{
+    constexpr std::chrono::milliseconds Limit = 250ms; // PlannedStop leaves 300 ms from its last step to the end of the grace.
+    boost::asio::ip::tcp::socket silent(this->io);
+    const std::string &address = this->left.record.peerAddress.value;
+    const auto port = static_cast<std::uint16_t>(std::stoul(address.substr(address.rfind(':') + 1)));
+    silent.connect({boost::asio::ip::make_address("127.0.0.1"), port});
+    const std::string upgrade = "GET / HTTP/1.1\r\nHost: " + address
+                                + "\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
+                                  "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\nSec-WebSocket-Version: 13\r\n\r\n";
+    boost::asio::write(silent, boost::asio::buffer(upgrade));
+    std::string answer;
+    boost::asio::read_until(silent, boost::asio::dynamic_buffer(answer), "\r\n\r\n");
+    BOOST_TEST_REQUIRE(answer.starts_with("HTTP/1.1 101"));
+    this->runUntil([] { return false; }, 50ms);
+    const auto startedAt = std::chrono::steady_clock::now();
+    this->left.bus->shutDown();
+    const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - startedAt);
+    BOOST_TEST(took.count() < Limit.count());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
