--- a/src/cells/cell_dispatch.cpp
+++ b/src/cells/cell_dispatch.cpp
@@ -502,6 +502,13 @@
         break;
     case StopResult::Unknown:
         run.nextStopAt = now + StopRetryInterval;
+        if (!std::exchange(run.isStopUnanswered, true)) {
+            this->log("stop-unanswered", {{"job", task.job.value},
+                                          {"task", toText(task)},
+                                          {"run", std::to_string(number.value)},
+                                          {"endpoint", name.value},
+                                          {"leases", endpoint->hasUnstoppedRun() ? "not extended" : "extended"}});
+        }
         break;
     }
     this->holdEndpoints(now);
--- a/src/cells/cell_endpoint.h
+++ b/src/cells/cell_endpoint.h
@@ -29,6 +29,7 @@
     bool isStartRepeated = false; ///< Whether the start order got no answer and was sent again.
     bool isStopConfirmed = false; ///< Whether the endpoint confirmed the stop.
     bool isStopInFlight = false; ///< Whether a stop order is in flight.
+    bool isStopUnanswered = false; ///< Whether a stop order got no answer.
     bool isStopOutdated = false; ///< Whether the stop order in flight was sent to a former incarnation of the endpoint.
     bool isIsolated = false; ///< Whether no other run may be placed beside this one.
     bool isListed = false; ///< Whether the present incarnation of the endpoint has listed the run.
--- a/src/cells/cell_leader.cpp
+++ b/src/cells/cell_leader.cpp
@@ -77,15 +77,19 @@
     }
     this->areOrphansStopped = true;
     this->orphanEnds.clear();
+    std::size_t stopped = 0;
     for (auto &[name, endpoint] : this->endpoints) {
         for (auto &[task, run] : endpoint->runs) {
             if (!this->jobs.contains(task.job) && run.phase == RunPhase::Running) {
                 run.phase = RunPhase::Stopping;
                 run.mayReturn = true;
                 this->orderStop(now, *endpoint, task, run);
+                ++stopped;
             }
         }
     }
+    this->log("orphans-stopped",
+              {{"runs", toText(stopped)}, {"lost_ms", toText(static_cast<std::uint64_t>((now - lostAt) / std::chrono::milliseconds(1)))}});
 }
 
 void CellLeader::release(TimePoint now)
