A withdrawal that ends other jobs of the loop doesn't end the process

Found by review, not seen: the loops over expired calls, lost links' calls and open calls at a stop looked up each call although the withdrawal of an earlier one starts waiting tasks, which may settle or abandon a later one's job; the missing entry would have ended the process. Expired jobs are withdrawn without starting others, the two loops of the node skip calls that are gone. No test of its own: it needs a deadly task that is settled within the loop.

--- a/src/cells/cell_leader_jobs.cpp
+++ b/src/cells/cell_leader_jobs.cpp
@@ -395,6 +395,7 @@
     const auto found = std::ranges::find_if(this->bestEffortCalls, [call](const auto &entry) { return entry.second.call == call; });
     if (found != this->bestEffortCalls.end()) {
         this->withdrawJob(now, JobId(found->first));
+        this->startReadyJobs(now);
     }
 }
 
@@ -420,7 +421,6 @@
     job->end(JobState::Cancelled);
     this->stopRuns(now, job->id);
     this->finishBestEffort(now, job);
-    this->startReadyJobs(now);
 }
 
 void CellLeader::cancel(TimePoint now, CallId call, const JobId &id)
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -389,7 +389,11 @@
         }
     }
     for (const CallId call : open) {
-        PendingCall &pending = this->calls.at(call);
+        const auto found = this->calls.find(call);
+        if (found == this->calls.end()) {
+            continue; // A withdrawal may end the jobs of others.
+        }
+        PendingCall &pending = found->second;
         if (pending.kind == PendingCall::Kind::Submission) {
             if (pending.isAwaitingAnswer) {
                 this->withdraw(call, pending);
--- a/src/node/node_peers.cpp
+++ b/src/node/node_peers.cpp
@@ -252,7 +252,9 @@
         }
     }
     for (const CallId call : orphaned) {
-        this->withdrawRemoteCall(call);
+        if (this->calls.contains(call)) { // A withdrawal may end the jobs of others.
+            this->withdrawRemoteCall(call);
+        }
     }
 }
 
