An evacuated cell awaits the listings that may show runs of a job before it hands it back

Found by review: a job that came back to a new leader of an evacuated cell before the endpoint with its run was listed was answered as unknown at once, and its healthy run was stopped.

--- a/src/cells/cell_evacuation.cpp
+++ b/src/cells/cell_evacuation.cpp
@@ -48,7 +48,9 @@
         if (!job->spec.isBestEffort) {
             continue;
         }
-        const bool canGoOn = job->placedTasks > 0 || this->canStartTasksOf(now, *job);
+        // An endpoint that isn't listed yet may have a run of a job that was submitted to a former leader.
+        const bool mayBeTakenOver = job->wasRecovered && !this->isRecoverySettled && !this->areOrphansStopped;
+        const bool canGoOn = job->placedTasks > 0 || mayBeTakenOver || this->canStartTasksOf(now, *job);
         if (!canGoOn && job->hasNeverStarted()) {
             handedBack.push_back(job);
         } else if (!canGoOn || (this->areStartsOver(now) && job->needsStarts())) {
