--- a/src/cells/cell_leader.cpp
+++ b/src/cells/cell_leader.cpp
@@ -65,27 +65,33 @@
     this->advance(now);
 }
 
-void CellLeader::stopOrphans(TimePoint now)
+TimePoint CellLeader::orphanDeadline() const
 {
-    if (this->areOrphansStopped) {
-        return;
-    }
     const bool isLossKnown = this->options.formerLeaderSeenAt != TimePoint();
     const TimePoint lostAt = isLossKnown ? this->options.formerLeaderSeenAt : this->claimedAt;
-    if (now < std::clamp(lostAt + OrphanTimeout, this->leadingSince + MinResubmissionTime, this->leadingSince + MaxResubmissionTime)) {
+    return std::clamp(lostAt + OrphanTimeout, this->leadingSince + MinResubmissionTime, this->leadingSince + MaxResubmissionTime);
+}
+
+void CellLeader::stopOrphans(TimePoint now)
+{
+    if (this->areOrphansStopped || now < this->orphanDeadline()) {
         return;
     }
     this->areOrphansStopped = true;
     this->orphanEnds.clear();
+    std::size_t stopped = 0;
     for (auto &[name, endpoint] : this->endpoints) {
         for (auto &[task, run] : endpoint->runs) {
             if (!this->jobs.contains(task.job) && run.phase == RunPhase::Running) {
                 run.phase = RunPhase::Stopping;
                 run.mayReturn = true;
                 this->orderStop(now, *endpoint, task, run);
+                ++stopped;
             }
         }
     }
+    const auto ledFor = (now - this->leadingSince) / std::chrono::milliseconds(1);
+    this->log("orphans-stopped", {{"runs", toText(stopped)}, {"led_ms", toText(static_cast<std::uint64_t>(ledFor))}});
 }
 
 void CellLeader::release(TimePoint now)
@@ -115,6 +121,11 @@
     return this->phase == Phase::Leading;
 }
 
+bool CellLeader::hasToken() const
+{
+    return this->phase != Phase::Reading;
+}
+
 FenceToken CellLeader::token() const
 {
     return this->chain.token();
