--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,6 +1,7 @@
-// A long task of a stored job whose worker crashes twice (srv_crash).
+// A best-effort job whose entry is cut off and killed, while a worker leaves one stop unanswered.
 #include "fleet.h"
 
+#include <csignal>
 #include <iostream>
 
 using namespace Tanagertally::Review;
@@ -8,73 +9,115 @@
 
 namespace {
 
-constexpr std::size_t Workers = 8;
+constexpr std::size_t WorkersPerZone = 4;
 constexpr std::int64_t Cpu = 1000;
-constexpr auto Work = 9000ms;
-constexpr auto CrashLength = 4500ms; // for_s of srv_crash
-constexpr int Crashes = 2;
+constexpr auto Work = 3000ms; // Within `max` of work_ms of session-confirm.
+constexpr auto Resend = 1300ms; // resend-ms
+constexpr auto LateOrdersLength = 5500ms; // for_s of applied_late
+constexpr double LateShare = 0.055; // x of applied_late
 constexpr const char *Prefix = "/lohu930/";
 
-/** @return The worker that runs the job; null if none does within 20 s. */
-Worker *findRunner(Fleet &fleet, const JobPlan &job)
-{
-    Worker *runner = nullptr;
-    Tanagertally::ProcessTests::waitUntil(
-        [&] {
-            runner = fleet.with([&]() -> Worker * {
-                for (const auto &worker : fleet.workers) {
-                    if (worker->isUp && worker->runs.contains(job.id + ".0.0.0")) {
-                        return worker.get();
-                    }
-                }
-                return nullptr;
-            });
-            return runner != nullptr;
-        },
-        20s);
-    return runner;
-}
-
 int run(const std::filesystem::path &record)
 {
     FleetPlan plan;
-    plan.zones = {"maarif"};
-    plan.entriesPerZone = 3;
-    for (std::size_t number = 0; number < Workers; ++number) {
-        plan.workers.push_back({"maarif", {"a", "r1-" + std::to_string(number / 4)}});
+    plan.zones = {"maarif", "anfa"};
+    plan.entriesPerZone = 4;
+    plan.hasLinkProxies = true;
+    for (std::size_t number = 0; number < 2 * WorkersPerZone; ++number) {
+        plan.workers.push_back({plan.zones[number % 2], {"a", "r" + std::to_string(number % 2) + "-0"}});
     }
-    plan.routes = Json::array({route("session-confirm", Prefix, 2, 20s, 1.6)});
+    plan.routes = Json::array({route("session-confirm", Prefix, 2, 500ms, 1.6)});
     Fleet fleet(plan, record);
-    const JobPlan job{jobId(2, 1), Prefix, {{1, Cpu, Work, ""}}};
-    if (!fleet.submit(job, 0)) {
+    const auto leader = fleet.leaderOf("maarif");
+    const auto otherLeader = fleet.leaderOf("anfa");
+    if (!leader || !otherLeader) {
         return 2;
     }
-    for (int crash = 0; isTroubleOn() && crash < Crashes; ++crash) {
-        Worker *runner = findRunner(fleet, job);
-        if (runner == nullptr) {
-            break;
+    const std::size_t entry = *leader == 0 ? 2 : 0; // In maarif, and not its leader.
+    const std::size_t secondEntry = *otherLeader == 1 ? 3 : 1; // In anfa, and not its leader.
+
+    std::atomic<bool> isTwice = false;
+    fleet.with([&] {
+        for (const auto &worker : fleet.workers) {
+            worker->onStart = [&fleet, &isTwice, starting = worker.get()](const std::string &task) {
+                for (const auto &other : fleet.workers) {
+                    if (other.get() != starting && other->isUp && other->runs.contains(task)) {
+                        isTwice = true;
+                        fleet.record("two runs of " + task + " at the same time: on " + other->id + " and " + starting->id);
+                    }
+                }
+            };
         }
-        std::this_thread::sleep_for(1500ms);
-        fleet.with([runner] { runner->crash(); });
-        std::this_thread::sleep_for(CrashLength);
-        fleet.with([runner] { runner->restart(); });
-        std::this_thread::sleep_for(1000ms);
+    });
+    // Other jobs, so that the workers get orders all the time.
+    std::atomic<bool> isOver = false;
+    std::vector<std::thread> callers;
+    for (std::size_t number = 0; number < 4; ++number) {
+        callers.emplace_back([&, number] {
+            for (std::size_t next = 0; !isOver; ++next) {
+                const JobPlan job{jobId(8, 1000 * number + next), Prefix, {{2, 500, 150ms, ""}}, true};
+                fleet.post(job, number % 2 == 0 ? *leader : *otherLeader);
+                std::this_thread::sleep_for(100ms);
+            }
+        });
+    }
+    std::this_thread::sleep_for(1s);
+
+    const JobPlan job{jobId(7, 1), Prefix, {{1, Cpu, Work, ""}}, true};
+    std::size_t ordersBefore = 0;
+    if (isTroubleOn()) {
+        fleet.with([&] {
+            for (const auto &worker : fleet.workers) {
+                ordersBefore += worker->orders;
+            }
+        });
     }
-    fleet.record("the traffic ends");
-    std::string last;
-    for (int look = 0; look < 40; ++look) {
-        const JobView view = fleet.look(job, static_cast<std::size_t>(look) % fleet.entries.size());
-        if (view.state != last) {
-            fleet.record("GET " + job.prefix + job.id + " -> " + std::to_string(view.status) + " " + view.state);
+    auto first = std::async(std::launch::async, [&] { return fleet.post(job, entry); });
+    if (isTroubleOn()) {
+        const bool isRunning = Tanagertally::ProcessTests::waitUntil(
+            [&] {
+                return fleet.with([&] {
+                    for (const auto &worker : fleet.workers) {
+                        if (worker->runs.contains(job.id + ".0.0.0")) {
+                            worker->lateStops = 1;
+                            return true;
+                        }
+                    }
+                    return false;
+                });
+            },
+            1s);
+        if (!isRunning) {
+            return 2;
         }
-        last = view.state;
-        if (last == "failed" || last == "done") {
-            break;
+        fleet.cutOff(entry);
+        fleet.record(fleet.entries[entry].name + " is killed");
+        fleet.entries[entry].process->signal(SIGKILL);
+    }
+    const auto answer = first.get();
+    if (answer.status != 200) {
+        std::this_thread::sleep_for(Resend);
+        fleet.post(job, secondEntry);
+    }
+    std::this_thread::sleep_for(LateOrdersLength - Resend);
+    isOver = true;
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    if (isTroubleOn()) {
+        std::size_t orders = 0;
+        fleet.with([&] {
+            for (const auto &worker : fleet.workers) {
+                orders += worker->orders;
+            }
+        });
+        fleet.record("one of " + std::to_string(orders - ordersBefore) + " orders was carried out late");
+        if (LateShare * static_cast<double>(orders - ordersBefore) < 1) {
+            return 2;
         }
-        std::this_thread::sleep_for(1s);
     }
-    fleet.record(last == "failed" ? "shown as failed, though no run of it has ended as failed" : "not shown as failed");
-    return last == "failed" ? 1 : 0;
+    fleet.record(isTwice ? "a task ran twice at the same time" : "no task ran twice at the same time");
+    return isTwice ? 1 : 0;
 }
 
 } // namespace
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,7 +4,8 @@
 cd "$(dirname "$0")/.."
 out=target/review
 mkdir -p "$out"
-sources="review/standins/fleet.cpp review/standins/worker.cpp platform/tests/standins/store_standin.cpp src/cells/tests/store_model.cpp
+sources="review/standins/fleet.cpp review/standins/worker.cpp platform/tests/standins/store_standin.cpp
+platform/tests/standins/fault_proxy.cpp src/cells/tests/store_model.cpp
 tests/process/child_process.cpp tests/process/http_call.cpp tests/process/process_tools.cpp"
 flags="-std=c++20 -O1 -fsigned-char -DBOOST_ERROR_CODE_HEADER_ONLY -Isrc -I. -Itests/process -Ireview/standins"
 libraries="target/platform/libtanagertally_adapter.a target/src/node/libtanagertally_node.a target/src/cells/libtanagertally_cells.a
--- a/review/standins/worker.cpp
+++ b/review/standins/worker.cpp
@@ -14,6 +14,7 @@
 constexpr std::int64_t LongestHoldMs = 1000; // hold-max-ms
 constexpr std::int64_t StopMs = 20; // Within stop-timeout-ms.
 constexpr std::size_t MaxListedEnds = 500;
+constexpr std::chrono::seconds LateDelay{2}; // The shortest delay of an order that is carried out late.
 constexpr int MisdirectedRequest = 421;
 
 } // namespace
@@ -23,13 +24,14 @@
     return TimePoint(std::chrono::steady_clock::now().time_since_epoch());
 }
 
-Worker::Worker(boost::asio::io_context &io, WorkerPlan workerPlan, std::size_t workerNumber, CostOf cost, RecordLine recordLine)
+Worker::Worker(boost::asio::io_context &context, WorkerPlan workerPlan, std::size_t workerNumber, CostOf cost, RecordLine recordLine)
     : plan(std::move(workerPlan))
+    , io(context)
     , costOf(std::move(cost))
     , record(std::move(recordLine))
     , number(workerNumber)
     , server(std::make_unique<Platform::Test::StandinServer>(
-          io, [this](const HttpRequest &request, const Reply &reply) { this->serve(request, reply); }))
+          this->io, [this](const HttpRequest &request, const Reply &reply) { this->serve(request, reply); }))
 {
     this->beginLife();
 }
@@ -223,6 +225,7 @@
         return this->refusal("room");
     }
     this->grant(deadlineMs);
+    this->onStart(task);
     this->runs[task]
         = {number, body.at("spec").get<std::string>(), cost->cpu, currentTime() + cost->work, this->failsAll ? "failed" : "done"};
     this->record("start " + task + " run " + std::to_string(number) + " on " + this->id);
@@ -269,6 +272,23 @@
     if (!this->isUp) {
         return; // Nothing is sent by a crashed worker.
     }
+    ++this->orders;
+    if (request.target() != "/run-stop" || this->lateStops == 0) {
+        this->execute(request, reply);
+        return;
+    }
+    --this->lateStops;
+    this->record("worker " + this->id + " leaves a stop unanswered and carries it out 2 s later");
+    auto timer = std::make_shared<boost::asio::steady_timer>(this->io, LateDelay);
+    timer->async_wait([this, timer, request, started = this->life](const boost::system::error_code &) {
+        if (this->isUp && this->life == started) {
+            this->execute(request, [](const HttpReply &) {});
+        }
+    });
+}
+
+void Worker::execute(const HttpRequest &request, const Reply &reply)
+{
     const auto expected = request["X-Tanagertally-Expect-Instance"];
     if (std::string_view(expected.data(), expected.size()) != this->id) {
         reply(jsonReply(static_cast<http::status>(MisdirectedRequest), "{}"));
