Review case 1: a suspended entry runs a job that its caller has handed in elsewhere since

Order of events: a best-effort job is sent to an entry whose machine is suspended before it reads the request; the client gives up, closes the connection and hands the job in at another zone, where it runs; the machine goes on after 3.5 s, the entry reads the request, counts the deadline from then, and its task is started in its own zone beside the first run: TWICE. The client's end of the connection arrives later, when TCP sends it again.

--- a/review/standins/fleet.cpp
+++ b/review/standins/fleet.cpp
@@ -142,6 +142,7 @@
     this->with([this] {
         this->isStopping = true;
         this->linkProxies.clear();
+        this->clientProxy.reset();
     });
     this->store->close();
     for (const auto &worker : this->workers) {
@@ -239,10 +240,7 @@
 
 ProcessTests::HttpAnswer Fleet::post(const JobPlan &job, std::size_t entry)
 {
-    {
-        const std::lock_guard lock(this->jobsMutex);
-        this->jobs[job.id] = job;
-    }
+    this->announce(job);
     HttpCall call = this->request(job, entry, "POST");
     call.body = job.body();
     this->record("POST " + call.target + " at " + this->entries[entry].name);
@@ -255,17 +253,38 @@
     return answer;
 }
 
-void Fleet::cutOff(std::size_t entry)
+std::string Fleet::openClientProxy(std::size_t entry)
 {
-    this->record(this->entries[entry].name + " is cut off from all other entries");
-    this->with([this, entry] {
+    const std::string &frontend = this->entries[entry].frontend;
+    const auto port = static_cast<std::uint16_t>(std::stoi(frontend.substr(frontend.find(':') + 1)));
+    return this->with([this, port] {
+        this->clientProxy = std::make_unique<Platform::Test::FaultProxy>(
+            this->io, boost::asio::ip::tcp::endpoint(boost::asio::ip::address_v4::loopback(), port));
+        return this->clientProxy->address();
+    });
+}
+
+void Fleet::announce(const JobPlan &job)
+{
+    const std::lock_guard lock(this->jobsMutex);
+    this->jobs[job.id] = job;
+}
+
+void Fleet::holdLinks(std::size_t entry, bool isHeld)
+{
+    this->with([this, entry, isHeld] {
         for (std::size_t other = 0; other < this->entries.size(); ++other) {
-            this->linkProxies[entry][other]->setBehavior({{}, false, false});
-            this->linkProxies[other][entry]->setBehavior({{}, false, false});
+            this->linkProxies[entry][other]->setBehavior({{}, !isHeld, !isHeld});
+            this->linkProxies[other][entry]->setBehavior({{}, !isHeld, !isHeld});
         }
     });
 }
 
+void Fleet::holdClient(bool isHeld)
+{
+    this->with([this, isHeld] { this->clientProxy->setBehavior({{}, !isHeld, !isHeld}); });
+}
+
 std::optional<std::size_t> Fleet::leaderOf(const std::string &zone)
 {
     return this->with([&]() -> std::optional<std::size_t> {
@@ -282,10 +301,7 @@
 
 bool Fleet::submit(const JobPlan &job, std::size_t entry, std::chrono::milliseconds patience)
 {
-    {
-        const std::lock_guard lock(this->jobsMutex);
-        this->jobs[job.id] = job;
-    }
+    this->announce(job);
     const auto until = std::chrono::steady_clock::now() + patience;
     for (std::size_t attempt = 0;; ++attempt) {
         const std::size_t at = (entry + attempt) % this->entries.size();
--- a/review/standins/fleet.h
+++ b/review/standins/fleet.h
@@ -87,8 +87,23 @@
     /** Hands a job in once. @return The answer. Thread safety: any thread. */
     ProcessTests::HttpAnswer post(const JobPlan &job, std::size_t entry);
 
-    /** Cuts an entry off from all other entries; clients, the store and the workers still reach it. */
-    void cutOff(std::size_t entry);
+    /**
+     * Opens a way for a client to an entry that holdTraffic() of it holds up.
+     * @return Its address.
+     */
+    std::string openClientProxy(std::size_t entry);
+
+    /** Makes a job known to the workers. Thread safety: any thread. */
+    void announce(const JobPlan &job);
+
+    /** Holds up all that goes to and from an entry over its links to other entries, or lets it through. */
+    void holdLinks(std::size_t entry, bool isHeld);
+
+    /** The same for the last client proxy. */
+    void holdClient(bool isHeld);
+
+    /** @return A request of a client for a job. */
+    ProcessTests::HttpCall request(const JobPlan &job, std::size_t entry, const std::string &method) const;
 
     /** @return Number of the entry that leads the cell of a zone; nothing if none does. */
     std::optional<std::size_t> leaderOf(const std::string &zone);
@@ -124,7 +139,6 @@
     void writeSettings(const Entry &entry, std::size_t number);
     void translate(std::size_t reader, Cells::Row &row) const;
     std::optional<TaskCost> costOf(const std::string &task);
-    ProcessTests::HttpCall request(const JobPlan &job, std::size_t entry, const std::string &method) const;
 
     FleetPlan plan;
     ProcessTests::TemporaryFolder folder;
@@ -137,6 +151,7 @@
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard;
     boost::asio::steady_timer timer;
     std::vector<std::vector<std::unique_ptr<Platform::Test::FaultProxy>>> linkProxies; ///< By connecting and accepting entry.
+    std::unique_ptr<Platform::Test::FaultProxy> clientProxy; ///< The last one that was opened.
     bool isStopping = false; ///< On the thread of the stand-ins.
     std::thread thread;
 };
--- a/review/standins/worker.cpp
+++ b/review/standins/worker.cpp
@@ -14,7 +14,6 @@
 constexpr std::int64_t LongestHoldMs = 1000; // hold-max-ms
 constexpr std::int64_t StopMs = 20; // Within stop-timeout-ms.
 constexpr std::size_t MaxListedEnds = 500;
-constexpr std::chrono::seconds LateDelay{2}; // The shortest delay of an order that is carried out late.
 constexpr int MisdirectedRequest = 421;
 
 } // namespace
@@ -26,12 +25,11 @@
 
 Worker::Worker(boost::asio::io_context &context, WorkerPlan workerPlan, std::size_t workerNumber, CostOf cost, RecordLine recordLine)
     : plan(std::move(workerPlan))
-    , io(context)
     , costOf(std::move(cost))
     , record(std::move(recordLine))
     , number(workerNumber)
     , server(std::make_unique<Platform::Test::StandinServer>(
-          this->io, [this](const HttpRequest &request, const Reply &reply) { this->serve(request, reply); }))
+          context, [this](const HttpRequest &request, const Reply &reply) { this->serve(request, reply); }))
 {
     this->beginLife();
 }
@@ -272,23 +270,6 @@
     if (!this->isUp) {
         return; // Nothing is sent by a crashed worker.
     }
-    ++this->orders;
-    if (request.target() != "/run-stop" || this->lateStops == 0) {
-        this->execute(request, reply);
-        return;
-    }
-    --this->lateStops;
-    this->record("worker " + this->id + " leaves a stop unanswered and carries it out 2 s later");
-    auto timer = std::make_shared<boost::asio::steady_timer>(this->io, LateDelay);
-    timer->async_wait([this, timer, request, started = this->life](const boost::system::error_code &) {
-        if (this->isUp && this->life == started) {
-            this->execute(request, [](const HttpReply &) {});
-        }
-    });
-}
-
-void Worker::execute(const HttpRequest &request, const Reply &reply)
-{
     const auto expected = request["X-Tanagertally-Expect-Instance"];
     if (std::string_view(expected.data(), expected.size()) != this->id) {
         reply(jsonReply(static_cast<http::status>(MisdirectedRequest), "{}"));
--- a/review/standins/worker.h
+++ b/review/standins/worker.h
@@ -74,8 +74,6 @@
     WorkerPlan plan; ///< What it is.
     std::string id; ///< Name of this life.
     bool isUp = true; ///< Whether its process runs.
-    std::size_t orders = 0; ///< Orders that have arrived.
-    std::size_t lateStops = 0; ///< So many of the next stops get no answer and are carried out late.
     std::function<void(const std::string &)> onStart = [](const std::string &) {}; ///< Called with the task before each start.
     bool failsAll = false; ///< Whether all runs that it starts end as failed.
     std::map<std::string, Run> runs; ///< Its runs, by task.
@@ -93,7 +91,6 @@
     };
 
     void serve(const HttpRequest &request, const Platform::Test::Reply &reply);
-    void execute(const HttpRequest &request, const Platform::Test::Reply &reply);
     HttpReply start(const Json &body);
     HttpReply stop(const Json &body);
     void hold(const Json &body, const Platform::Test::Reply &reply);
@@ -105,7 +102,6 @@
     std::int64_t clockMs() const;
     void beginLife();
 
-    boost::asio::io_context &io;
     CostOf costOf;
     RecordLine record;
     std::size_t number;
