A resumed leader keeps the jobs that were submitted to it since it went on

Change: only jobs that were accepted in the first half of the gap, that is before the suspension, are handed back. Measured: the test passes again; node_test passes.

--- a/src/cells/cell_leader.cpp
+++ b/src/cells/cell_leader.cpp
@@ -344,17 +344,17 @@
     if (this->phase == Phase::Leading && gap > SuspensionLimit) {
         this->resumedAt = now;
         this->log("lead-unsure", {{"gap_ms", toText(static_cast<std::uint64_t>(gap / std::chrono::milliseconds(1)))}}, true);
-        this->handBackUnstartedJobs(now);
+        this->handBackUnstartedJobs(now, now - gap / 2);
     }
 }
 
-void CellLeader::handBackUnstartedJobs(TimePoint now)
+void CellLeader::handBackUnstartedJobs(TimePoint now, TimePoint acceptedBefore)
 {
     // Their callers may have given up meanwhile, and may have them run elsewhere before that is known here.
     std::vector<std::shared_ptr<CellJob>> unstarted;
     for (const auto &[id, call] : this->bestEffortCalls) {
         const std::shared_ptr<CellJob> job = this->findJob(id);
-        if (job->placedTasks == 0 && job->hasNeverStarted()) {
+        if (job->acceptedAt < acceptedBefore && job->placedTasks == 0 && job->hasNeverStarted()) {
             unstarted.push_back(job);
         }
     }
--- a/src/cells/cell_leader.h
+++ b/src/cells/cell_leader.h
@@ -184,7 +184,7 @@
     void stopOrphans(TimePoint now);
     TimePoint orphanDeadline() const; ///< @return When to stop the runs that no instance has asked for.
     void detectSuspension(TimePoint now);
-    void handBackUnstartedJobs(TimePoint now);
+    void handBackUnstartedJobs(TimePoint now, TimePoint acceptedBefore);
     void settleRecovery(TimePoint now);
     void answerSubmission(CallId call, SubmitAnswer answer);
     void log(std::string event, std::vector<std::pair<std::string, std::string>> fields, bool isWarning = false);
