Stored jobs behind others that can't be placed are started where there is room

Cause: a pass over the waiting jobs ended at six that found no endpoint, and each pass began with the same ones. The same held for jobs behind 500, and for the steps of a job behind one that fits nowhere; and an endpoint that is slowed down was passed over although it alone had the label.

Why it works: each stored job is looked at again within the number of ready jobs divided by 10,000 seconds, whatever stands before it.

Ruled out: endpoints that don't count as having room; jobs that were examined and found too demanding.

--- a/src/cells/cell_dispatch.cpp
+++ b/src/cells/cell_dispatch.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <cassert>
-#include <limits>
 
 namespace Tanagertally::Cells {
 
@@ -25,7 +24,9 @@
 constexpr Duration StopRetryInterval = std::chrono::milliseconds(150); // Between stop orders for one run.
 constexpr Duration OrphanStopTime = std::chrono::milliseconds(100); // In which the stop of an orphan is confirmed and leases are extended.
 constexpr std::uint64_t RunsPerToken = 1 << 20; // Run numbers of one leader for one task; lasts 14 hours at a start every 50 ms.
-constexpr int MaxPlacementMisses = 6; // Jobs that are placed on no endpoint, though one has room, before the pass over the ready jobs ends.
+constexpr std::size_t MaxPlacementMisses = 6; // Kinds of jobs that find no endpoint, though one has room, before a pass in order ends.
+constexpr std::size_t MaxSweptJobs = 200; // Bounds the time of a sweep over the jobs behind a pass that has ended early.
+constexpr Duration SweepInterval = std::chrono::milliseconds(20); // Sweeps reach each of 10,000 jobs within a second.
 constexpr std::size_t MaxExaminedJobs = 500; // Bounds the time of a pass.
 constexpr Duration SpeedUpdateInterval = std::chrono::milliseconds(100); // Bounds the processor time; speeds change over seconds.
 constexpr std::size_t MaxDeferrals = 32; // Jobs that wait for faster endpoints in one pass; bounds its length.
@@ -86,7 +87,7 @@
     }
     job.rank = rankOf(job.id, this->urgencyOf(job), now);
     this->readyJobs.insert(*job.rank);
-    this->smallestWaitingCpu = std::min(this->smallestWaitingCpu, job.step(job.waiting().front()).demand.cpu);
+    this->smallestWaitingCpu = std::min(this->smallestWaitingCpu, job.smallestWaitingCpu());
 }
 
 void CellLeader::removeFromReadyJobs(CellJob &job)
@@ -117,52 +118,79 @@
     if (!this->canGiveOrders(now) || this->areStartsOver(now)) {
         return;
     }
-    std::int64_t largestRoom = this->largestFreeCpu(now);
-    if (largestRoom < this->smallestWaitingCpu) {
+    if (this->largestFreeCpu(now) < this->smallestWaitingCpu) {
         return;
     }
     this->passCount = 0;
     this->deferrals = 0;
-    int misses = 0;
-    std::size_t examined = 0;
-    std::int64_t smallestDemand = std::numeric_limits<std::int64_t>::max();
-    auto entry = this->readyJobs.begin();
-    while (entry != this->readyJobs.end() && misses < MaxPlacementMisses && examined < MaxExaminedJobs) {
+    const ReadyPass pass = this->startReadyJobsFrom(now, this->readyJobs.begin(), {MaxPlacementMisses, MaxExaminedJobs, false});
+    this->smallestWaitingCpu = pass.next == this->readyJobs.end() ? pass.smallestDemand : 0;
+    if (pass.next == this->readyJobs.end()) {
+        this->sweepPosition.reset();
+        return;
+    }
+    this->sweepReadyJobs(now, pass);
+}
+
+void CellLeader::sweepReadyJobs(TimePoint now, const ReadyPass &pass)
+{
+    // Pattern: jobs that can't be placed at the head of the order. A task that no endpoint can run now, for whatever reason, must not keep
+    // those behind it from endpoints that have room for them. Best-effort jobs are left out: the order decides which of them end in time.
+    const std::int64_t largestRoom = this->largestFreeCpu(now);
+    if (now < this->nextSweepAt || largestRoom == 0) {
+        return;
+    }
+    this->nextSweepAt = now + SweepInterval;
+    const bool goesOn = this->sweepPosition && *pass.next < *this->sweepPosition;
+    const auto first = goesOn ? this->readyJobs.lower_bound(*this->sweepPosition) : pass.next;
+    const ReadyPass sweep = this->startReadyJobsFrom(now, first, {MaxSweptJobs, MaxSweptJobs, true});
+    this->sweepPosition = sweep.next == this->readyJobs.end() ? std::nullopt : std::optional(*sweep.next);
+    if (now < this->lastCutPassLoggedAt + PassLogInterval) {
+        return;
+    }
+    this->lastCutPassLoggedAt = now;
+    this->log("pass-cut", {{"examined", std::to_string(pass.examined)},
+                           {"misses", std::to_string(pass.misses)},
+                           {"swept", std::to_string(sweep.examined)},
+                           {"ready", std::to_string(this->readyJobs.size())},
+                           {"largest_room", std::to_string(largestRoom)}});
+}
+
+CellLeader::ReadyPass CellLeader::startReadyJobsFrom(TimePoint now, std::set<JobRank>::iterator entry, const ReadyPassLimits &limits)
+{
+    ReadyPass pass;
+    std::int64_t largestRoom = this->largestFreeCpu(now);
+    while (entry != this->readyJobs.end() && pass.misses < limits.misses && pass.examined < limits.examined) {
         const std::shared_ptr<CellJob> job = this->findJob(entry->id);
         assert(job);
         ++entry;
-        if (!this->canStartTasksOf(now, *job)) {
+        if (!this->canStartTasksOf(now, *job) || (limits.areStoredOnly && job->spec.isBestEffort)) {
             continue;
         }
-        ++examined;
-        const std::int64_t demand = job->step(job->waiting().front()).demand.cpu;
-        smallestDemand = std::min(smallestDemand, demand);
+        ++pass.examined;
+        const std::int64_t demand = job->smallestWaitingCpu();
+        pass.smallestDemand = std::min(pass.smallestDemand, demand);
         if (demand > largestRoom) {
             continue;
         }
         const std::size_t formerDeferrals = this->deferrals;
-        const bool isStarted = this->startWaitingTasks(now, *job);
-        largestRoom = this->largestFreeCpu(now);
-        if (!isStarted) {
-            // A task that waits for a faster endpoint leaves room to the jobs behind it.
-            misses += this->deferrals == formerDeferrals || this->deferrals > MaxDeferrals ? 1 : 0;
-            smallestDemand = std::min(smallestDemand, job->step(job->waiting().front()).demand.cpu);
-            if (job->rank->isUnstarted && job->startOrders > 0) {
-                this->addToReadyJobs(now, *job);
-            }
-        } else {
+        const std::uint64_t formerStarts = job->startOrders;
+        const StartOutcome outcome = this->startWaitingTasks(now, *job);
+        largestRoom = job->startOrders == formerStarts ? largestRoom : this->largestFreeCpu(now);
+        if (outcome.isComplete) {
             this->removeFromReadyJobs(*job);
+            continue;
+        }
+        // A task that waits for a faster endpoint leaves room to the jobs behind it.
+        const bool isDeferred = this->deferrals != formerDeferrals && this->deferrals <= MaxDeferrals;
+        pass.misses += outcome.wasMissed && !isDeferred ? 1 : 0;
+        pass.smallestDemand = std::min(pass.smallestDemand, job->smallestWaitingCpu());
+        if (job->rank->isUnstarted && job->startOrders > 0) {
+            this->addToReadyJobs(now, *job);
         }
     }
-    this->smallestWaitingCpu = entry == this->readyJobs.end() ? smallestDemand : 0;
-    const bool isCut = entry != this->readyJobs.end() && largestRoom >= smallestDemand;
-    if (isCut && now >= this->lastCutPassLoggedAt + PassLogInterval) {
-        this->lastCutPassLoggedAt = now;
-        this->log("pass-cut", {{"examined", std::to_string(examined)},
-                               {"misses", std::to_string(misses)},
-                               {"ready", std::to_string(this->readyJobs.size())},
-                               {"largest_room", std::to_string(largestRoom)}});
-    }
+    pass.next = entry;
+    return pass;
 }
 
 std::int64_t CellLeader::largestFreeCpu(TimePoint now) const
@@ -175,32 +203,60 @@
     return largest;
 }
 
-bool CellLeader::startWaitingTasks(TimePoint now, CellJob &job)
+CellLeader::StartOutcome CellLeader::startWaitingTasks(TimePoint now, CellJob &job)
 {
-    while (!job.waiting().empty()) {
-        const TaskRef &next = job.waiting().front();
-        if (this->hasRunOf(next)) {
-            return false;
-        }
-        const TaskRecord &record = job.task(next);
-        const TimePoint objective = job.acceptedAt + job.urgency.objective;
-        const Duration pathAfter = job.pathAfter(next.step);
-        const PlacementTask request{next, job.step(next), record.lastEndpoint, objective, objective - pathAfter,
-                                    job.acceptedAt + LateFactor * job.urgency.objective - pathAfter,
-                                    // A trial must not use up a task's last attempt.
-                                    record.failures + 1 < job.terms.maxAttempts};
-        const PlacementChoice choice = this->placementPass(now, job.terms.service).choose(now, request, this->remoteFactor);
-        if (choice.awaited) {
-            this->logDeferral(now, job, next, *choice.awaited);
+    StartOutcome outcome;
+    std::deque<TaskRef> &waiting = job.waiting();
+    std::vector<std::pair<std::uint32_t, bool>>
+        unplaced; // Steps, and whether those of their tasks that found no endpoint could take a trial.
+    std::size_t position = 0;
+    while (position < waiting.size()) {
+        const TaskRef &next = waiting[position];
+        const bool canTakeTrial = this->canTakeTrial(job, next);
+        const auto isStepOfNext = [&](const auto &entry) { return entry.first == next.step && (entry.second || !canTakeTrial); };
+        if (std::ranges::any_of(unplaced, isStepOfNext) || this->hasRunOf(next)) {
+            ++position;
+            continue;
         }
+        const PlacementChoice choice = this->chooseEndpoint(now, job, next);
         if (!choice.endpoint) {
-            return false;
+            outcome.wasMissed = outcome.wasMissed || !choice.wasKnownUnfit;
+            unplaced.emplace_back(next.step, canTakeTrial);
+            if (job.spec.steps.size() == 1 && canTakeTrial) {
+                break; // No other task can be placed either.
+            }
+            ++position;
+            continue;
         }
-        const TaskRef task = std::move(job.waiting().front());
-        job.waiting().pop_front();
+        const TaskRef task = next;
+        waiting.erase(waiting.begin() + static_cast<std::ptrdiff_t>(position));
         this->startRun(now, job, task, *choice.endpoint);
     }
-    return true;
+    outcome.isComplete = waiting.empty();
+    return outcome;
+}
+
+bool CellLeader::canTakeTrial(CellJob &job, const TaskRef &task) const
+{
+    return job.task(task).failures + 1 < job.terms.maxAttempts; // A trial must not use up a task's last attempt.
+}
+
+PlacementChoice CellLeader::chooseEndpoint(TimePoint now, CellJob &job, const TaskRef &task)
+{
+    const TimePoint objective = job.acceptedAt + job.urgency.objective;
+    const Duration pathAfter = job.pathAfter(task.step);
+    const PlacementTask request{task,
+                                job.step(task),
+                                job.task(task).lastEndpoint,
+                                objective,
+                                objective - pathAfter,
+                                job.acceptedAt + LateFactor * job.urgency.objective - pathAfter,
+                                this->canTakeTrial(job, task)};
+    const PlacementChoice choice = this->placementPass(now, job.terms.service).choose(now, request, this->remoteFactor);
+    if (choice.awaited) {
+        this->logDeferral(now, job, task, *choice.awaited);
+    }
+    return choice;
 }
 
 bool CellLeader::canPlace(TimePoint now, const CellEndpoint &endpoint) const
--- a/src/cells/cell_job.cpp
+++ b/src/cells/cell_job.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <ranges>
 
 namespace Tanagertally::Cells {
 
@@ -210,6 +211,16 @@
     return result;
 }
 
+std::int64_t CellJob::smallestWaitingCpu() const
+{
+    assert(!this->waitingTasks.empty());
+    const auto cpuOf = [this](const TaskRef &ref) { return this->step(ref).demand.cpu; };
+    if (this->spec.steps.size() == 1) {
+        return cpuOf(this->waitingTasks.front());
+    }
+    return std::ranges::min(this->waitingTasks | std::views::transform(cpuOf));
+}
+
 double CellJob::waitingWork() const
 {
     double work = 0;
--- a/src/cells/cell_job.h
+++ b/src/cells/cell_job.h
@@ -133,6 +133,9 @@
     /** @return Progress to store. */
     JobProgress progress() const;
 
+    /** @return Smallest processor demand of a waiting task, in thousandths of a core. @pre A task is waiting. */
+    std::int64_t smallestWaitingCpu() const;
+
     /** @return Work of the waiting tasks in core-milliseconds, by the caller's estimates. */
     double waitingWork() const;
 
--- a/src/cells/cell_leader.h
+++ b/src/cells/cell_leader.h
@@ -11,6 +11,7 @@
 #include "cells/service_rate.h"
 
 #include <functional>
+#include <limits>
 #include <map>
 #include <set>
 #include <span>
@@ -179,6 +180,28 @@
         TimePoint endedAt; ///< When the end was stored or recovered.
     };
 
+    /** Bounds of a pass over waiting jobs. */
+    struct ReadyPassLimits {
+        std::size_t misses = 0; ///< Jobs that no endpoint with room takes, and whose needs weren't known to be unfit.
+        std::size_t examined = 0; ///< Jobs that are looked at.
+        bool areStoredOnly = false; ///< Whether best-effort jobs are passed over.
+    };
+
+    /** Outcome of a pass over waiting jobs. */
+    struct ReadyPass {
+        std::set<JobRank>::iterator next; ///< First job that wasn't looked at.
+        std::size_t examined = 0; ///< Jobs that were looked at.
+        std::size_t misses = 0; ///< See ReadyPassLimits.
+        std::int64_t smallestDemand
+            = std::numeric_limits<std::int64_t>::max(); ///< Smallest demand of the tasks left waiting, in thousandths of a core.
+    };
+
+    /** Outcome of an attempt to start the waiting tasks of a job. */
+    struct StartOutcome {
+        bool isComplete = false; ///< Whether no task waits any more.
+        bool wasMissed = false; ///< Whether endpoints were examined for a task and none of them takes it.
+    };
+
     // cell_leader.cpp: claim, recovery and release.
     void endLead(const std::string &reason, bool wasReleased);
     void stopOrphans(TimePoint now);
@@ -251,8 +274,12 @@
     // cell_dispatch.cpp: endpoints and runs.
     bool canGiveOrders(TimePoint now) const;
     void startReadyJobs(TimePoint now);
+    ReadyPass startReadyJobsFrom(TimePoint now, std::set<JobRank>::iterator entry, const ReadyPassLimits &limits);
     std::int64_t largestFreeCpu(TimePoint now) const;
-    bool startWaitingTasks(TimePoint now, CellJob &job);
+    void sweepReadyJobs(TimePoint now, const ReadyPass &pass); ///< Starts stored jobs behind those that a pass in order has looked at.
+    StartOutcome startWaitingTasks(TimePoint now, CellJob &job);
+    bool canTakeTrial(CellJob &job, const TaskRef &task) const; ///< @return Whether a task may run on a suspect endpoint.
+    PlacementChoice chooseEndpoint(TimePoint now, CellJob &job, const TaskRef &task);
     void startRun(TimePoint now, CellJob &job, const TaskRef &task, CellEndpoint &endpoint);
     void orderStart(const CellJob &job, const TaskRef &task, const CellEndpoint &endpoint, const RunRecord &run);
     bool repeatStart(TimePoint now, const TaskRef &task, CellEndpoint &endpoint, RunRecord &run);
@@ -333,6 +360,8 @@
     bool hasLateJobs = false; ///< Whether a waiting job was expected to end late when advance() was last called.
     std::int64_t smallestWaitingCpu
         = 0; ///< Lower bound of the demands of the tasks that are next in `readyJobs`, in thousandths of a core.
+    std::optional<JobRank> sweepPosition; ///< Where the next sweep goes on; unset if the last one reached the end of `readyJobs`.
+    TimePoint nextSweepAt; ///< Earliest time of the next sweep.
     TimePoint lastCutPassLoggedAt; ///< When a pass that left waiting jobs unexamined was last logged.
     std::set<JobRank> readyJobs; ///< Ranks of the jobs with waiting tasks; unrelated to the configured queues.
     CrashHistory crashes; ///< Endpoints that were lost while tasks ran on them.
--- a/src/cells/placement.cpp
+++ b/src/cells/placement.cpp
@@ -10,6 +10,7 @@
 constexpr double SlowFactor = 2; // Passing faults slow endpoints down by more than this.
 constexpr double MinRelevantSlowness = 1.6; // Smaller values are within the variation of run times.
 constexpr Duration EndDelay = std::chrono::milliseconds(15); // From a task's end until its job's, and from its order until its start.
+constexpr std::size_t MaxUnfitNeeds = 32; // Bounds the time of a pass; requests are of a few kinds.
 constexpr std::size_t MaxDemands = 16; // Distinct demands that are remembered; requests are of a few kinds.
 constexpr double DemandMemory = 1 - 1.0 / 64; // Share of the past that remains with each start; a cell starts some hundred tasks a second.
 
@@ -97,6 +98,7 @@
 {
     this->serviceName = std::move(passService);
     this->candidates.clear();
+    this->unfitNeeds.clear();
     this->typicalCpu = recentDemand;
     this->leastSlowness = 1;
     this->fastCpu = 0;
@@ -107,6 +109,7 @@
 void PlacementPass::add(CellEndpoint &endpoint, double slowness, bool isTrial)
 {
     this->leastSlowness = this->candidates.empty() ? slowness : std::min(this->leastSlowness, slowness);
+    this->greatestSlowness = this->candidates.empty() ? slowness : std::max(this->greatestSlowness, slowness);
     if (!this->candidates.empty()) {
         const int firstClass = this->candidates.front().endpoint->speed.speedClass();
         this->areSpeedsEven = this->areSpeedsEven && firstClass == endpoint.speed.speedClass();
@@ -123,23 +126,59 @@
     return this->serviceName;
 }
 
-bool PlacementPass::canTake(const PlacementCandidate &candidate, const PlacementTask &task) const
+bool PlacementPass::isKnownUnfit(const Needs &needs) const
 {
-    const CellEndpoint &endpoint = *candidate.endpoint;
-    if (candidate.isTrial && (!task.canTakeTrial || !endpoint.runs.empty())) {
-        return false;
+    return std::ranges::any_of(this->unfitNeeds, [&needs](const Needs &unfit) { return unfit.isImpliedBy(needs); });
+}
+
+void PlacementPass::recordUnfit(Needs needs)
+{
+    std::erase_if(this->unfitNeeds, [&needs](const Needs &known) { return needs.isImpliedBy(known); });
+    if (this->unfitNeeds.size() < MaxUnfitNeeds) {
+        this->unfitNeeds.push_back(std::move(needs));
     }
+}
+
+bool PlacementPass::Needs::isImpliedBy(const Needs &other) const
+{
+    const bool isRequirementImplied = this->requirement.empty() || this->requirement == other.requirement;
+    return this->demand.fitsInto(other.demand) && isRequirementImplied && (this->canTakeTrial || !other.canTakeTrial);
+}
+
+bool PlacementPass::fits(const PlacementCandidate &candidate, const PlacementTask &task)
+{
+    const CellEndpoint &endpoint = *candidate.endpoint;
+    const bool isTrialRefused = candidate.isTrial && (!task.canTakeTrial || !endpoint.runs.empty());
+    return !isTrialRefused && task.step.demand.fitsInto(endpoint.freeResources()) && canEverRun(endpoint.record, task.step);
+}
+
+bool PlacementPass::isWithinStepLimit(const PlacementCandidate &candidate, const PlacementTask &task)
+{
     if (task.step.maxPerEndpoint == 0) {
         return true;
     }
     const auto sameStep = std::ranges::count_if(
-        endpoint.runs, [&task](const auto &run) { return run.first.step == task.ref.step && run.first.job == task.ref.job; });
+        candidate.endpoint->runs, [&task](const auto &run) { return run.first.step == task.ref.step && run.first.job == task.ref.job; });
     return sameStep < static_cast<std::ptrdiff_t>(task.step.maxPerEndpoint);
 }
 
-bool PlacementPass::isTooSlow(TimePoint now, const PlacementCandidate &candidate, const PlacementTask &task) const
+double PlacementPass::leastSlownessFor(const StepSpec &step) const
 {
-    return candidate.slowness > SlowFactor * this->leastSlowness && now + task.step.estimate <= task.objective
+    if (this->greatestSlowness <= SlowFactor * this->leastSlowness) {
+        return this->leastSlowness;
+    }
+    double least = this->greatestSlowness;
+    for (const PlacementCandidate &candidate : this->candidates) {
+        if (candidate.slowness < least && canEverRun(candidate.endpoint->record, step)) {
+            least = candidate.slowness;
+        }
+    }
+    return least;
+}
+
+bool PlacementPass::isTooSlow(TimePoint now, const PlacementCandidate &candidate, const PlacementTask &task, double leastSlowness)
+{
+    return candidate.slowness > SlowFactor * leastSlowness && now + task.step.estimate <= task.objective
            && now + scaled(task.step.estimate, candidate.slowness) > task.objective;
 }
 
@@ -148,16 +187,25 @@
     // Compared lexicographically; the smallest rank is the best.
     using Rank = std::tuple<bool, ExpectedEnd, bool, double, int, std::int64_t, std::int64_t>;
     const StepSpec &step = task.step;
+    const Needs needs{step.demand, step.requirement, task.canTakeTrial};
+    if (this->isKnownUnfit(needs)) {
+        return {nullptr, nullptr, true};
+    }
     const int direction = 2 * this->freeFastCpu >= this->fastCpu ? -1 : 1;
     PlacementChoice choice;
     Rank bestRank;
+    bool isFitting = false;
+    const double least = this->leastSlownessFor(step);
     for (const PlacementCandidate &candidate : this->candidates) {
         const CellEndpoint &endpoint = *candidate.endpoint;
-        const Resources available = endpoint.freeResources();
-        if (!step.demand.fitsInto(available) || !canEverRun(endpoint.record, step) || !this->canTake(candidate, task)
-            || this->isTooSlow(now, candidate, task)) {
+        if (!fits(candidate, task)) {
+            continue;
+        }
+        isFitting = true;
+        if (!isWithinStepLimit(candidate, task) || isTooSlow(now, candidate, task, least)) {
             continue;
         }
+        const Resources available = endpoint.freeResources();
         const ExpectedEnd end
             = this->areSpeedsEven ? ExpectedEnd::InTime : classify(now + expectedRunTime(endpoint, step, remoteFactor) + EndDelay, task);
         const double slowness = candidate.slowness < MinRelevantSlowness ? 1 : candidate.slowness;
@@ -175,6 +223,9 @@
             bestRank = rank;
         }
     }
+    if (!isFitting) {
+        this->recordUnfit(needs);
+    }
     if (choice.endpoint && std::get<ExpectedEnd>(bestRank) != ExpectedEnd::InTime) {
         choice.awaited = this->findAwaited(now, task, remoteFactor);
         choice.endpoint = choice.awaited ? nullptr : choice.endpoint;
@@ -189,7 +240,7 @@
         const TimePoint latestStart = task.dueAt - expectedRunTime(endpoint, task.step, remoteFactor) - EndDelay;
         const bool isEligible = latestStart > now && !candidate.isTrial && candidate.slowness < MinRelevantSlowness
                                 && endpoint.record.name != task.avoid && canEverRun(endpoint.record, task.step)
-                                && this->canTake(candidate, task);
+                                && isWithinStepLimit(candidate, task);
         if (!isEligible) {
             continue;
         }
--- a/src/cells/placement.h
+++ b/src/cells/placement.h
@@ -78,6 +78,7 @@
 struct PlacementChoice {
     CellEndpoint *endpoint = nullptr; ///< The endpoint; null if the task has to wait.
     const CellEndpoint *awaited = nullptr; ///< A faster endpoint that the task should wait for; set only if `endpoint` is null.
+    bool wasKnownUnfit = false; ///< Whether no endpoint was examined, as no less demanding task has fitted before in the same pass.
 };
 
 /**
@@ -101,23 +102,43 @@
      * the least slow one, one of the fitting speed (the fastest while the faster half of the capacity is half free, else the slowest one
      * that will do), the one with the smallest rest that typical tasks can't use, the one with the smallest rest (best fit).
      *
-     * An endpoint that a passing fault slows down to less than half of the others' speed is left out if it alone makes the task late. A
+     * An endpoint that a passing fault slows down to less than half of the speed of others that could run the task is left out if it alone
+     * makes the task late. A
      * task that ends in time on no endpoint with room, but would on one that is expected to be free by the latest start there, waits for
      * it.
+     *
+     * Room only shrinks within a pass: what didn't fit stays unfit, and so does a task that needs as much or more. Such tasks cost no look
+     * at the endpoints, so that a pass over many of them reaches the tasks behind them.
      * @param remoteFactor See meanRunTime().
      */
     PlacementChoice choose(TimePoint now, const PlacementTask &task, double remoteFactor = 1);
 
 private:
-    bool canTake(const PlacementCandidate &candidate, const PlacementTask &task) const;
-    bool isTooSlow(TimePoint now, const PlacementCandidate &candidate, const PlacementTask &task) const;
+    /** What a task needs of an endpoint, whatever its job and its deadlines. */
+    struct Needs {
+        Resources demand;
+        std::string requirement; ///< Label that an endpoint must have; empty for none.
+        bool canTakeTrial = true; ///< Whether a suspect endpoint will do.
+
+        /** @return Whether an endpoint that meets `other` meets these needs as well. */
+        bool isImpliedBy(const Needs &other) const;
+    };
+
+    bool isKnownUnfit(const Needs &needs) const;
+    void recordUnfit(Needs needs);
+    static bool fits(const PlacementCandidate &candidate, const PlacementTask &task);
+    static bool isWithinStepLimit(const PlacementCandidate &candidate, const PlacementTask &task);
+    double leastSlownessFor(const StepSpec &step) const; ///< @return Least slowness of the candidates that could ever run a step.
+    static bool isTooSlow(TimePoint now, const PlacementCandidate &candidate, const PlacementTask &task, double leastSlowness);
     const CellEndpoint *findAwaited(TimePoint now, const PlacementTask &task, double remoteFactor);
     std::optional<TimePoint> freeAt(TimePoint now, const PlacementCandidate &candidate, const Resources &demand);
 
     ServiceName serviceName;
     std::vector<PlacementCandidate> candidates;
+    std::vector<Needs> unfitNeeds; ///< Needs that no candidate could meet in this pass.
     std::int64_t typicalCpu = 0; ///< In thousandths of a core; 0 if it isn't known.
     double leastSlowness = 1; ///< Of all candidates.
+    double greatestSlowness = 1; ///< Of all candidates.
     std::int64_t fastCpu = 0; ///< Capacity of the candidates of at least mean speed, in thousandths of a core.
     std::int64_t freeFastCpu = 0; ///< Free part of `fastCpu` as of add().
     bool areSpeedsEven = true; ///< Whether all candidates are about equally fast.
--- a/src/cells/tests/placement_test.cpp
+++ b/src/cells/tests/placement_test.cpp
@@ -169,4 +169,37 @@
     BOOST_TEST(demand.typicalCpu() < 5000);
 }
 
+// Guards against a task that waits although the only endpoint that can run it has room, because others that can't are faster.
+BOOST_FIXTURE_TEST_CASE(SlowEndpointThatAloneHasTheLabelIsUsed, Fixture)
+{
+    this->add(16);
+    CellEndpoint &labelled = this->add(16);
+    labelled.record.labels = {"rare"};
+    this->step.requirement = "rare";
+    this->pass.begin(Service, 0);
+    this->pass.add(*this->endpoints[0], 1, false);
+    this->pass.add(labelled, 5, false);
+    BOOST_TEST(this->placeNext(1, 500ms, 1s) == 1);
+}
+
+// Guards against a look at all endpoints for each of many tasks that fit nowhere.
+BOOST_FIXTURE_TEST_CASE(TaskThatNeedsMoreThanOneThatFittedNowhereIsKnownAsUnfit, Fixture)
+{
+    this->add(4);
+    this->add(8);
+    this->pass.begin(Service, 0);
+    for (const auto &endpoint : this->endpoints) {
+        this->pass.add(*endpoint, 1, false);
+    }
+    this->step.demand = {9000, 0, 0};
+    const PlacementTask task{this->ref, this->step, this->noEndpoint, Now, Now, Now};
+    BOOST_TEST(!this->pass.choose(Now, task).wasKnownUnfit);
+    this->step.demand = {9500, 10, 0};
+    BOOST_TEST(this->pass.choose(Now, task).wasKnownUnfit);
+    this->step.demand = {8000, 10, 0};
+    const PlacementChoice choice = this->pass.choose(Now, task);
+    BOOST_TEST(!choice.wasKnownUnfit);
+    BOOST_TEST(choice.endpoint == this->endpoints[1].get());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/cells/tests/runnable_test.cpp
@@ -0,0 +1,119 @@
+// Accepted work that some endpoint with room could run does run, whatever waits before it.
+#include "cells/tests/cell_world.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Tanagertally;
+using namespace Tanagertally::Cells;
+using namespace Tanagertally::Cells::Test;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration IdleBound = 3s; // In which a task that could run has to be running, specified by the platform.
+
+constexpr Duration Target = 60s; // Jobs that wait are in time throughout a test, so that the oldest ones come first.
+
+const std::string CommonLabel = "common";
+const std::string RareLabel = "rare";
+
+JobId jobId(std::uint64_t number)
+{
+    std::string digits = std::to_string(number);
+    return JobId(std::string(16 - digits.size(), '0') + digits);
+}
+
+/** A cell whose last endpoint alone has the rare label. */
+struct LabelledCell {
+    CellWorld world;
+    std::size_t leader = 0;
+
+    explicit LabelledCell(std::size_t endpointCount = 4)
+        : world(endpointCount)
+    {
+        for (EndpointModel &endpoint : this->world.endpoints) {
+            endpoint.record.labels = {CommonLabel};
+        }
+        this->world.endpoints.back().record.labels = {RareLabel};
+        this->leader = this->world.addLeader();
+        this->world.advanceTime(1s);
+    }
+
+    StepSpec step(std::uint32_t count, const std::string &requirement) const
+    {
+        StepSpec result;
+        result.count = count;
+        result.demand = {1000, 10, 0};
+        result.estimate = this->world.workTime;
+        result.requirement = requirement;
+        return result;
+    }
+
+    CallId submit(const JobId &id, std::vector<StepSpec> steps)
+    {
+        JobSpec spec{std::make_shared<const std::string>("payload"), std::move(steps), false};
+        return this->world.submit(this->leader, id, std::move(spec), {QueueName("queue"), ServiceName("service"), 0, 2, 1.6, Target});
+    }
+
+    void removeRareEndpoint()
+    {
+        this->world.endpoints.back().isUp = false;
+        this->world.registerEndpoints(this->leader);
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Runnable)
+
+// Guards against a pass over the waiting jobs that ends at six jobs that no endpoint can run: all later jobs of the cell waited for ever.
+BOOST_FIXTURE_TEST_CASE(JobsBehindSeveralThatNoEndpointCanRunAreStarted, LabelledCell)
+{
+    for (std::uint64_t number = 0; number < 8; ++number) {
+        StepSpec second = this->step(1, RareLabel);
+        second.after = {0};
+        this->submit(jobId(number), {this->step(1, ""), second});
+    }
+    this->world.advanceTime(20ms);
+    this->removeRareEndpoint();
+    this->world.advanceTime(2s);
+    for (std::uint64_t number = 100; number < 112; ++number) {
+        this->submit(jobId(number), {this->step(1, "")});
+    }
+    this->world.advanceTime(IdleBound);
+    for (std::uint64_t number = 100; number < 112; ++number) {
+        BOOST_TEST(this->world.shows(this->leader, jobId(number), JobState::Done));
+    }
+}
+
+// Guards against the same with more waiting jobs of different needs than one pass examines.
+BOOST_FIXTURE_TEST_CASE(JobBehindHundredsOfDifferentOnesThatNoEndpointCanRunIsStarted, LabelledCell)
+{
+    constexpr std::uint64_t Stuck = 1200;
+    this->world.endpoints.back().isFull = true;
+    for (std::uint64_t number = 0; number < Stuck; ++number) {
+        StepSpec rare = this->step(1, RareLabel);
+        rare.demand.cpu = 100 + static_cast<std::int64_t>(number);
+        this->submit(jobId(number), {rare});
+    }
+    this->world.advanceTime(3s);
+    this->removeRareEndpoint();
+    this->world.advanceTime(2s);
+    this->submit(jobId(9000), {this->step(1, "")});
+    this->world.advanceTime(IdleBound);
+    BOOST_TEST(this->world.shows(this->leader, jobId(9000), JobState::Done));
+}
+
+// Guards against a job of which nothing runs, because the first of its waiting tasks fits no endpoint though others would.
+BOOST_FIXTURE_TEST_CASE(StepThatNoEndpointCanRunDoesNotHoldUpTheOtherStepsOfItsJob, LabelledCell)
+{
+    this->world.workTime = 10s;
+    this->submit(jobId(1), {this->step(2, RareLabel)}); // Fills the only endpoint with the label.
+    this->world.advanceTime(50ms);
+    this->submit(jobId(2), {this->step(2, RareLabel), this->step(2, CommonLabel)});
+    this->world.advanceTime(IdleBound);
+    BOOST_TEST(this->world.startsOf({jobId(2), 1, 0}) == 1U);
+    BOOST_TEST(this->world.startsOf({jobId(2), 1, 1}) == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
