Stored jobs that their cell leaves waiting move to a cell that can run them

Cause: a stored job belonged to the cell that accepted it, whatever became of the cell's endpoints; only submissions went to another cell.

The runs that left with the endpoint were given up a second later (endpoint-lost reason=lease-lapsed), so the jobs waited; findRefusal is asked at submission only.

Change: the leader hands over jobs of which nothing has run for 2 s to a cell that could run them: one transaction moves the rows, changes the name's row and records the transfer; the other leader is told until it confirms, also by a later leader, and reads the rows before it believes the message. Cells that are full, out of reach or evacuated hand over as well, if the other one has room at once. Why it works: a job moves only when nothing of it runs or may still be started, its progress and the suspicion against its tasks move along, runs are numbered on, and whichever leader is lost, the rows or the record are read by the next one. A recovering leader reads jobs before progress, as a job may arrive between the two reads.

Ruled out: runs that count as alive after their endpoint has left; tasks held back as suspected of a crash (for endpoints that crash it adds to the wait).

--- a/src/cells/cell_action.h
+++ b/src/cells/cell_action.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "cells/fleet_type.h"
+#include "cells/job_transfer.h"
 #include "cells/job_type.h"
 #include "cells/store_type.h"
 
@@ -74,6 +75,24 @@
     FenceToken token; ///< Fencing token of the current leader.
 };
 
+/** Tells the leader of a cell of jobs that were handed over to the cell; it confirms them through onTransfersConfirmed(). */
+struct AnnounceTransfers {
+    CellName target; ///< The cell that has the jobs now.
+    std::vector<JobTransfer> transfers;
+};
+
+/** Confirms to the leader of a cell that its transfers are known here. */
+struct ConfirmTransfers {
+    CellName source; ///< The cell that has handed the jobs over.
+    std::vector<JobId> jobs;
+};
+
+/** Reads the rows of a job that was handed over to this cell; they are reported through onTransferredJobRead(). */
+struct ReadTransferredJob {
+    CellName cell;
+    JobId job;
+};
+
 /** Writes one log line. */
 struct WriteLogLine {
     std::string event; ///< Name of the event.
@@ -82,7 +101,7 @@
 };
 
 using CellAction = std::variant<CommitTransaction, ReadLeadRow, ReadCellRows, StartRun, StopRun, HoldEndpoint, AnswerSubmission,
-                                AnswerCancel, LeadEnded, WriteLogLine>;
+                                AnswerCancel, AnnounceTransfers, ConfirmTransfers, ReadTransferredJob, LeadEnded, WriteLogLine>;
 
 /** Result of a start order. */
 struct StartResult {
--- a/src/cells/cell_dispatch.cpp
+++ b/src/cells/cell_dispatch.cpp
@@ -389,6 +389,16 @@
     return false;
 }
 
+std::uint64_t CellLeader::lastFormerRunNumber(const CellJob &job) const
+{
+    return std::max((this->chain.token().value - 1) * RunsPerToken, job.runsBefore);
+}
+
+std::uint64_t CellLeader::lastRunNumber(const CellJob &job) const
+{
+    return this->lastFormerRunNumber(job) + RunsPerToken;
+}
+
 void CellLeader::startRun(TimePoint now, CellJob &job, const TaskRef &task, CellEndpoint &endpoint)
 {
     TaskRecord &record = job.task(task);
@@ -400,7 +410,7 @@
     job.firstStartAt = job.firstStartAt.value_or(now);
     assert(record.starts < RunsPerToken);
     RunRecord run;
-    run.run = RunNumber((this->chain.token().value - 1) * RunsPerToken + record.starts);
+    run.run = RunNumber(this->lastFormerRunNumber(job) + record.starts);
     run.demand = job.step(task).demand;
     run.confirmedAt = now;
     run.expectedEnd = now + expectedRunTime(endpoint, job.step(task), this->remoteFactor);
--- a/src/cells/cell_evacuation.cpp
+++ b/src/cells/cell_evacuation.cpp
@@ -34,7 +34,7 @@
 bool CellLeader::canStartTasksOf(TimePoint now, const CellJob &job) const
 {
     const bool isStarted = job.startOrders > 0 || job.state == JobState::Running;
-    return !this->evacuation || (isStarted && !this->areStartsOver(now));
+    return !job.isLeaving && (!this->evacuation || (isStarted && !this->areStartsOver(now)));
 }
 
 void CellLeader::evacuateJobs(TimePoint now)
--- a/src/cells/cell_job.cpp
+++ b/src/cells/cell_job.cpp
@@ -154,6 +154,7 @@
     }
     this->waitingTasks.clear();
     this->state = progress.state;
+    this->runsBefore = progress.runsBefore;
     for (const JobProgress::TaskFailures &entry : progress.failures) {
         const TaskRef ref{this->id, entry.step, entry.index};
         if (this->hasTask(ref)) {
@@ -191,10 +192,34 @@
            || std::ranges::any_of(this->tasks, [&](const auto &step) { return std::ranges::any_of(step, needsStart); });
 }
 
+std::vector<std::uint32_t> CellJob::startableSteps() const
+{
+    const auto couldStart = [](const TaskRecord &task) { return task.phase == TaskPhase::Waiting || task.phase == TaskPhase::Isolated; };
+    std::vector<std::uint32_t> steps;
+    for (std::uint32_t step = 0; step < this->tasks.size(); ++step) {
+        if (std::ranges::any_of(this->tasks[step], couldStart)) {
+            steps.push_back(step);
+        }
+    }
+    return steps;
+}
+
+std::vector<std::uint32_t> CellJob::openSteps() const
+{
+    std::vector<std::uint32_t> steps;
+    for (std::uint32_t step = 0; step < this->tasks.size(); ++step) {
+        if (this->remainingTaskCounts[step] > 0) {
+            steps.push_back(step);
+        }
+    }
+    return steps;
+}
+
 JobProgress CellJob::progress() const
 {
     JobProgress result;
     result.state = this->state;
+    result.runsBefore = this->runsBefore;
     if (isFinal(this->state)) {
         return result;
     }
--- a/src/cells/cell_job.h
+++ b/src/cells/cell_job.h
@@ -45,6 +45,7 @@
     JobState state = JobState::Queued;
     std::vector<DoneTask> done; ///< Tasks that are done; empty once the job has ended.
     std::vector<TaskFailures> failures; ///< Tasks with failed runs.
+    std::uint64_t runsBefore = 0; ///< See CellJob::runsBefore.
 };
 
 /**
@@ -74,6 +75,8 @@
     std::uint32_t placedTasks = 0; ///< Number of tasks whose phase is Placed.
     std::optional<TimePoint> firstStartAt; ///< When this leader first ordered a run of the job; unset if it never did.
     std::uint64_t startOrders = 0; ///< Number of start orders for the job's tasks.
+    bool isLeaving = false; ///< Whether the job is being handed over to another cell, so that nothing of it may be started here.
+    std::uint64_t runsBefore = 0; ///< Former cells of the job have numbered its runs up to this number at most.
     std::uint64_t refusedStarts = 0; ///< Number of start orders that certainly had no effect.
 
     /** @return Whether it is certain that no task of the job ever started. */
@@ -130,6 +133,12 @@
     /** @return Whether the job can't end without the start of a task that is known not to run now. */
     bool needsStarts() const;
 
+    /** @return Numbers of the steps with tasks that could start if there were room. */
+    std::vector<std::uint32_t> startableSteps() const;
+
+    /** @return Numbers of the steps that are not done. */
+    std::vector<std::uint32_t> openSteps() const;
+
     /** @return Progress to store. */
     JobProgress progress() const;
 
--- a/src/cells/cell_leader.cpp
+++ b/src/cells/cell_leader.cpp
@@ -246,6 +246,9 @@
             this->markProgressDirty(now, *job);
         }
     }
+    for (JobTransfer &transfer : content.transfers) {
+        this->transfers.emplace(transfer.job, transfer);
+    }
     for (EndpointLoss &loss : content.losses) {
         loss.at = now;
         this->crashes.recordLoss(std::move(loss));
@@ -334,6 +337,7 @@
     this->planRoom(now);
     this->smallestWaitingCpu = 0;
     this->startReadyJobs(now);
+    this->announceTransfers(now);
     this->holdEndpoints(now);
     this->flush(now);
 }
--- a/src/cells/cell_leader.h
+++ b/src/cells/cell_leader.h
@@ -83,7 +83,7 @@
 
     /**
      * Evacuates the cell, or reopens it. An evacuated cell takes no new jobs and hands back best-effort jobs that were never started; from
-     * `startsUntil` on it starts nothing, and answers best-effort jobs that can't go on as unknown. Stored jobs wait until it is reopened.
+     * `startsUntil` on it starts nothing, and answers best-effort jobs that can't go on as unknown. Stored jobs wait until it is reopened or another cell takes them.
      * @param startsUntil Time until which tasks of started jobs may be started; unset to reopen the cell. The first one of an evacuation
      * counts.
      */
@@ -98,6 +98,15 @@
     /** @return State of a job; NoSuchJob if the cell has no such job, or Unknown if that can't be determined now. */
     JobAnswer query(const JobId &id) const;
 
+    /** @return Stored jobs of which nothing has run for some seconds although tasks could start; empty between two looks at them. */
+    std::vector<IdleJob> idleJobs(TimePoint now);
+
+    /** Hands a job over to another cell, unless that has become impossible. @pre idleJobs() returned the job at `now`. */
+    void transfer(TimePoint now, const JobId &id, const CellName &target);
+
+    /** Takes note of jobs that another cell's leader has handed over to this cell. */
+    void onTransfersAnnounced(TimePoint now, const CellName &source, std::span<const JobTransfer> announced);
+
     /** Releases the lead: the leader serves until the release is stored, then emits LeadEnded. */
     void release(TimePoint now);
 
@@ -135,6 +144,8 @@
     void onStarted(TimePoint now, const EndpointName &endpoint, const TaskRef &task, RunNumber run, const StartResult &result);
     void onStopped(TimePoint now, const EndpointName &endpoint, const TaskRef &task, RunNumber run, StopResult result);
     void onHoldAnswered(TimePoint now, const EndpointName &endpoint, const HoldResult &result);
+    void onTransferredJobRead(TimePoint now, const JobId &id, TransferredRows rows);
+    void onTransfersConfirmed(TimePoint now, std::span<const JobId> ids);
 
     /** Performs all work that is due; to be called about every 20 ms. */
     void advance(TimePoint now);
@@ -165,6 +176,8 @@
         bool storesRoster = false; ///< Whether it stores `roster`.
         bool storesCrashes = false; ///< Whether it stores `crashes`.
         std::vector<JobId> removedJobs; ///< Ended jobs whose rows it removes.
+        std::vector<JobTransfer> transfers; ///< Jobs that it hands over to other cells.
+        std::vector<JobId> endedTransfers; ///< Jobs whose transfers were confirmed and whose records it removes.
         bool releasesLead = false; ///< Whether it releases the lead.
     };
 
@@ -174,6 +187,12 @@
         TimePoint expiresAt; ///< When the caller stops waiting.
     };
 
+    /** A job that was handed over to this cell and whose rows are being read. */
+    struct Arrival {
+        CellName source; ///< The job's former cell.
+        std::vector<EndpointLoss> losses; ///< See JobTransfer.
+    };
+
     /** A job whose end is stored. */
     struct EndedJob {
         JobState state = JobState::Done; ///< Final state.
@@ -253,6 +272,14 @@
     void failDeadlyJob(TimePoint now, const std::shared_ptr<CellJob> &job, const TaskRef &task);
     void forgetCrashes(const CellJob &job);
 
+    // cell_transfer.cpp: transfer of stored jobs to other cells.
+    bool canBeTransferred(TimePoint now, const CellJob &job) const;
+    bool canRunOneOf(const CellJob &job, std::span<const std::uint32_t> steps) const;
+    void addTransfers(StoreTransaction &transaction);
+    void onTransfersStored(TimePoint now, const Batch &stored);
+    void onTransfersRejected(TimePoint now, Batch &rejected);
+    void announceTransfers(TimePoint now);
+
     // cell_evacuation.cpp: evacuation of the cell.
     bool areStartsOver(TimePoint now) const;
     bool canStartTasksOf(TimePoint now, const CellJob &job) const;
@@ -281,6 +308,8 @@
     bool canTakeTrial(CellJob &job, const TaskRef &task) const; ///< @return Whether a task may run on a suspect endpoint.
     PlacementChoice chooseEndpoint(TimePoint now, CellJob &job, const TaskRef &task);
     void startRun(TimePoint now, CellJob &job, const TaskRef &task, CellEndpoint &endpoint);
+    std::uint64_t lastFormerRunNumber(const CellJob &job) const; ///< @return Number that former leaders' runs of a job don't exceed.
+    std::uint64_t lastRunNumber(const CellJob &job) const; ///< @return Number that no run of a job by this leader exceeds.
     void orderStart(const CellJob &job, const TaskRef &task, const CellEndpoint &endpoint, const RunRecord &run);
     bool repeatStart(TimePoint now, const TaskRef &task, CellEndpoint &endpoint, RunRecord &run);
     void addToReadyJobs(TimePoint now, CellJob &job); ///< Ranks a job anew; adds it to `readyJobs` if it has waiting tasks.
@@ -351,6 +380,13 @@
     TimePoint lastCommitAt; ///< When a transaction was last sent.
     std::unordered_map<JobId, std::vector<CallId>> cancelCalls; ///< Calls that await the cancellation of a job.
     std::unordered_map<JobId, BestEffortCall> bestEffortCalls; ///< By the best-effort job whose end is awaited.
+    std::unordered_map<JobId, TimePoint> transferableAt; ///< By stored job of which nothing runs: when idleJobs() returns it next.
+    TimePoint nextIdleLookAt; ///< Earliest time of the next look for idle jobs.
+    std::deque<JobTransfer> pendingTransfers; ///< Transfers to store, oldest first.
+    std::unordered_map<JobId, JobTransfer> transfers; ///< Stored transfers whose record isn't removed yet.
+    std::vector<JobId> confirmedTransfers; ///< Those of `transfers` whose records have to be removed.
+    TimePoint nextAnnouncementAt; ///< When to announce `transfers` again.
+    std::unordered_map<JobId, Arrival> arrivals; ///< Announced jobs whose rows are being read.
     std::map<TaskRef, RunOutcome> orphanEnds; ///< Ends of runs that former leaders started for jobs not known to this leader.
     bool areOrphansStopped = false; ///< Whether runs of unknown jobs are stopped because their jobs can't be resubmitted any more.
     ServiceRate serviceRate; ///< Measured while jobs wait for capacity.
--- a/src/cells/cell_leader_store.cpp
+++ b/src/cells/cell_leader_store.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::size_t MaxSubmissionsPerTransaction = 24; // Three entries each; the platform accepts 100 entries per transaction.
+constexpr std::size_t MaxSubmissionsBesideTransfers = 8; // Leaves room for the entries of the transfers.
 constexpr std::size_t MaxProgressPerTransaction = 12; // Two entries each.
 constexpr std::size_t MaxRemovalsPerTransaction = 40; // Two entries each.
 constexpr Duration ProgressDelay = std::chrono::milliseconds(300); // Batches progress; ends have to be acknowledged within 4 s.
@@ -82,6 +83,13 @@
             }
         }
     }
+    for (const JobTransfer &transfer : stored.transfers) {
+        // Ends that were listed since the transaction was sent change nothing: the runs were given up before.
+        for (auto &[name, endpoint] : this->endpoints) {
+            endpoint->settleEnds(transfer.job, endpoint->lastListedEnd());
+        }
+    }
+    this->onTransfersStored(now, stored);
     for (const JobId &id : stored.removedJobs) {
         this->ended.erase(id);
     }
@@ -114,6 +122,7 @@
             this->markProgressDirty(now, *job);
         }
     }
+    this->onTransfersRejected(now, rejected);
     this->isRosterDirty = this->isRosterDirty || rejected.storesRoster;
     this->isCrashRowUrgent = this->isCrashRowUrgent || rejected.storesCrashes;
     this->flush(now);
@@ -122,7 +131,7 @@
 bool CellLeader::isCommitDue(TimePoint now) const
 {
     if (this->isReleaseRequested || !this->pendingSubmissions.empty() || this->hasUrgentProgress || this->isRosterDirty
-        || this->isCrashRowUrgent) {
+        || this->isCrashRowUrgent || !this->pendingTransfers.empty()) {
         return true;
     }
     if (!this->dirtyJobs.empty() && now >= this->dirtySince + ProgressDelay) {
@@ -138,6 +147,7 @@
     }
     StoreTransaction transaction;
     this->addSubmissions(transaction);
+    this->addTransfers(transaction);
     this->addProgress(transaction);
     this->addRoster(now, transaction);
     this->addCrashes(now, transaction);
@@ -149,7 +159,9 @@
 
 void CellLeader::addSubmissions(StoreTransaction &transaction)
 {
-    while (!this->pendingSubmissions.empty() && this->batch.submissions.size() < MaxSubmissionsPerTransaction) {
+    const bool haveTransfers = !this->pendingTransfers.empty() || !this->confirmedTransfers.empty();
+    const std::size_t limit = haveTransfers ? MaxSubmissionsBesideTransfers : MaxSubmissionsPerTransaction;
+    while (!this->pendingSubmissions.empty() && this->batch.submissions.size() < limit) {
         PendingSubmission submission = std::move(this->pendingSubmissions.front());
         this->pendingSubmissions.pop_front();
         const JobId &id = submission.job->id;
@@ -166,7 +178,7 @@
     for (std::size_t number = 0; number < count; ++number) {
         const JobId &id = this->dirtyJobs[number];
         const std::shared_ptr<CellJob> job = this->findJob(id);
-        if (!job) {
+        if (!job || std::ranges::find(this->batch.transfers, id, &JobTransfer::job) != this->batch.transfers.end()) {
             continue;
         }
         transaction.writes.push_back({progressKey(this->options.cell, id), encodeProgress(job->progress())});
@@ -189,7 +201,7 @@
 
 void CellLeader::addRemovals(TimePoint now, StoreTransaction &transaction)
 {
-    if (!this->batch.submissions.empty() || !this->batch.progress.empty()) {
+    if (!this->batch.submissions.empty() || !this->batch.progress.empty() || !this->batch.transfers.empty()) {
         return; // Callers wait for such a transaction, so it stays small.
     }
     for (const auto &[id, job] : this->ended) {
--- a/src/cells/job_cbor.cpp
+++ b/src/cells/job_cbor.cpp
@@ -245,6 +245,42 @@
     return terms;
 }
 
+Json lossesToJson(std::span<const EndpointLoss> losses)
+{
+    Json rows = Json::array();
+    for (const EndpointLoss &loss : losses) {
+        Json tasks = Json::array();
+        for (const LostTask &lost : loss.tasks) {
+            tasks.push_back({lost.task.job.value, lost.task.step, lost.task.index, lost.wasRunning});
+        }
+        rows.push_back({loss.endpoint.value, loss.address.value, loss.born ? Json(*loss.born) : Json(), loss.state == LossState::Crashed,
+                        loss.wasAlone, std::move(tasks)});
+    }
+    return rows;
+}
+
+std::vector<EndpointLoss> lossesFromJson(const Json &json)
+{
+    std::vector<EndpointLoss> losses;
+    for (const Json &row : json) {
+        EndpointLoss loss;
+        loss.endpoint = EndpointName(row.at(0).get<std::string>());
+        loss.address = NetAddress(row.at(1).get<std::string>());
+        loss.born = row.at(2).is_null() ? std::nullopt : std::optional(integerFromJson<std::int64_t>(row.at(2), "born", 1));
+        loss.state = row.at(3).get<bool>() ? LossState::Crashed : LossState::Unconfirmed;
+        loss.wasAlone = row.at(4).get<bool>();
+        for (const Json &task : row.at(5)) {
+            const TaskRef ref{JobId(task.at(0).get<std::string>()), integerFromJson<std::uint32_t>(task.at(1), "step"),
+                              integerFromJson<std::uint32_t>(task.at(2), "task")};
+            loss.tasks.push_back({ref, task.at(3).get<bool>()});
+        }
+        if (!loss.tasks.empty()) {
+            losses.push_back(std::move(loss));
+        }
+    }
+    return losses;
+}
+
 std::string toCborText(const Json &json)
 {
     std::string bytes;
--- a/src/cells/job_cbor.h
+++ b/src/cells/job_cbor.h
@@ -1,11 +1,13 @@
 /** Conversion of jobs to JSON values and CBOR, for stored rows and messages between instances. */
 #pragma once
 
+#include "cells/crash_history.h"
 #include "cells/job_type.h"
 
 #include <nlohmann/json.hpp>
 
 #include <limits>
+#include <span>
 #include <stdexcept>
 #include <utility>
 
@@ -57,6 +59,10 @@
 nlohmann::json termsToJson(const JobTerms &terms);
 /** Decodes terms. Throws nlohmann::json::exception or CborError if the value is malformed. */
 JobTerms termsFromJson(const nlohmann::json &json);
+/** Encodes losses of endpoints as a JSON value, without the times. */
+nlohmann::json lossesToJson(std::span<const EndpointLoss> losses);
+/** Decodes losses. Throws nlohmann::json::exception or CborError if the value is malformed. */
+std::vector<EndpointLoss> lossesFromJson(const nlohmann::json &json);
 /** Encodes a JSON value as CBOR bytes. */
 std::string toCborText(const nlohmann::json &json);
 /** Decodes CBOR bytes of the subset that toCborText() writes: nested to a limited depth, sizes stated, no tags, texts in UTF-8. Throws
--- a/src/cells/store_rows.cpp
+++ b/src/cells/store_rows.cpp
@@ -75,6 +75,11 @@
     return {std::string(ProgressTable), cell.value, job.value};
 }
 
+RowKey transferKey(const CellName &formerCell, const JobId &job)
+{
+    return {std::string(TransfersTable), formerCell.value, job.value};
+}
+
 RowKey idKey(const JobId &job)
 {
     return {std::string(IdsTable), fmt::format("{:02x}", stableHash(job.value) % IdPartitions), job.value};
@@ -115,6 +120,18 @@
     return decodeRow(value, "job", [&id](const Json &json) { return StoredJob{id, specFromJson(json.at(0)), termsFromJson(json.at(1))}; });
 }
 
+std::string encodeTransfer(const JobTransfer &transfer)
+{
+    return toCborText(Json::array({transfer.target.value, lossesToJson(transfer.losses)}));
+}
+
+Result<JobTransfer> decodeTransfer(const JobId &id, std::string_view value)
+{
+    return decodeRow(value, "transfer", [&id](const Json &json) {
+        return JobTransfer{id, CellName(json.at(0).get<std::string>()), lossesFromJson(json.at(1))};
+    });
+}
+
 std::string encodeProgress(const JobProgress &progress)
 {
     Json done = Json::array();
@@ -129,7 +146,7 @@
         }
         failures.push_back({task.step, task.index, task.failures, std::move(runs)});
     }
-    return toCborText(Json::array({static_cast<int>(progress.state), std::move(done), std::move(failures)}));
+    return toCborText(Json::array({static_cast<int>(progress.state), std::move(done), std::move(failures), progress.runsBefore}));
 }
 
 Result<JobProgress> decodeProgress(std::string_view value)
@@ -153,6 +170,9 @@
             }
             progress.failures.push_back(std::move(failures));
         }
+        if (json.size() > 3) { // Absent in former releases.
+            progress.runsBefore = integerFromJson<std::uint64_t>(json.at(3), "runs before");
+        }
         return progress;
     });
 }
@@ -179,40 +199,12 @@
 
 std::string encodeLosses(std::span<const EndpointLoss> losses)
 {
-    Json rows = Json::array();
-    for (const EndpointLoss &loss : losses) {
-        Json tasks = Json::array();
-        for (const LostTask &lost : loss.tasks) {
-            tasks.push_back({lost.task.job.value, lost.task.step, lost.task.index, lost.wasRunning});
-        }
-        rows.push_back({loss.endpoint.value, loss.address.value, loss.born ? Json(*loss.born) : Json(), loss.state == LossState::Crashed,
-                        loss.wasAlone, std::move(tasks)});
-    }
-    return toCborText(rows);
+    return toCborText(lossesToJson(losses));
 }
 
 Result<std::vector<EndpointLoss>> decodeLosses(std::string_view value)
 {
-    return decodeRow(value, "losses", [](const Json &json) {
-        std::vector<EndpointLoss> losses;
-        for (const Json &row : json) {
-            EndpointLoss loss;
-            loss.endpoint = EndpointName(row.at(0).get<std::string>());
-            loss.address = NetAddress(row.at(1).get<std::string>());
-            loss.born = row.at(2).is_null() ? std::nullopt : std::optional(integerFromJson<std::int64_t>(row.at(2), "born", 1));
-            loss.state = row.at(3).get<bool>() ? LossState::Crashed : LossState::Unconfirmed;
-            loss.wasAlone = row.at(4).get<bool>();
-            for (const Json &task : row.at(5)) {
-                const TaskRef ref{JobId(task.at(0).get<std::string>()), integerFromJson<std::uint32_t>(task.at(1), "step"),
-                                  integerFromJson<std::uint32_t>(task.at(2), "task")};
-                loss.tasks.push_back({ref, task.at(3).get<bool>()});
-            }
-            if (!loss.tasks.empty()) {
-                losses.push_back(std::move(loss));
-            }
-        }
-        return losses;
-    });
+    return decodeRow(value, "losses", lossesFromJson);
 }
 
 std::string encodeCellCount(std::uint32_t count)
--- a/src/cells/store_rows.h
+++ b/src/cells/store_rows.h
@@ -4,6 +4,7 @@
 #include "cells/cell_job.h"
 #include "cells/crash_history.h"
 #include "cells/fleet_type.h"
+#include "cells/job_transfer.h"
 #include "cells/store_type.h"
 #include "core/result_type.h"
 
@@ -37,6 +38,7 @@
     std::vector<StoredJob> jobs; ///< Jobs that have not ended.
     std::vector<StoredProgress> progress; ///< Progress of these jobs, and final states of ended ones.
     std::vector<EndpointRecord> roster; ///< Endpoints that a leader may have used.
+    std::vector<JobTransfer> transfers; ///< Jobs that were handed over to other cells, which haven't confirmed them yet.
     std::vector<EndpointLoss> losses; ///< Endpoints that were lost while tasks ran on them; `at` is not stored.
 };
 
@@ -45,6 +47,7 @@
 inline constexpr std::string_view LayoutsTable = "layouts"; ///< Number of cells of each failure domain, all in the empty partition.
 inline constexpr std::string_view JobsTable = "jobs"; ///< Jobs that have not ended, in the partition of their cell.
 inline constexpr std::string_view ProgressTable = "progress"; ///< Progress and final states, in the partition of their cell.
+inline constexpr std::string_view TransfersTable = "transfers"; ///< Jobs handed over to other cells, in the partition of their former cell.
 inline constexpr std::string_view IdsTable = "ids"; ///< Cell of each job; partitioned by a hash of the job's name.
 
 /** Largest number of cells of a failure domain. Every instance holds a view of each cell of the fleet. */
@@ -60,6 +63,8 @@
 RowKey jobKey(const CellName &cell, const JobId &job);
 /** @return Key of the row of a job's progress. */
 RowKey progressKey(const CellName &cell, const JobId &job);
+/** @return Key of the row that records that a cell has handed over a job. */
+RowKey transferKey(const CellName &formerCell, const JobId &job);
 /** @return Key of the row that names the cell of a job. */
 RowKey idKey(const JobId &job);
 /** @return Key of the row with the number of cells of a failure domain. */
@@ -76,6 +81,10 @@
 /** @return The job, or BadInput for a malformed value. */
 Result<StoredJob> decodeJob(const JobId &id, std::string_view value);
 /** @return Row value. */
+std::string encodeTransfer(const JobTransfer &transfer);
+/** @return The transfer, or BadInput for a malformed value. */
+Result<JobTransfer> decodeTransfer(const JobId &id, std::string_view value);
+/** @return Row value. */
 std::string encodeProgress(const JobProgress &progress);
 /** @return The progress, or BadInput for a malformed value. */
 Result<JobProgress> decodeProgress(std::string_view value);
--- a/src/node/cell_directory.cpp
+++ b/src/node/cell_directory.cpp
@@ -39,9 +39,7 @@
 {
     const double rate = effectiveRate(view.load);
     // Work that finds room starts at once and delays nothing.
-    const double usable = static_cast<double>(usableCpu(view.load));
-    const bool hasRoom = view.load.waitingWork == 0 && view.sentCpu + demand.cpu <= usable;
-    return hasRoom ? 0 : (view.load.waitingWork + view.sentWork) / rate;
+    return hasRoomFor(view, demand) ? 0 : (view.load.waitingWork + view.sentWork) / rate;
 }
 
 bool hasRackOf(const CellView &view, const CellDemand &demand)
@@ -49,16 +47,21 @@
     return demand.affinity.empty() || std::ranges::find(view.load.labels, demand.affinity.value) != view.load.labels.end();
 }
 
-bool isEligible(const CellView &view)
+} // namespace
+
+bool acceptsJobs(const CellView &cell)
 {
-    return !view.leader.empty() && !view.hasLeadEnded && !view.isEvacuated && view.load.capacityCpu != 0;
+    return !cell.leader.empty() && !cell.hasLeadEnded && !cell.isEvacuated && cell.load.capacityCpu != 0;
 }
 
-} // namespace
+bool hasRoomFor(const CellView &cell, const CellDemand &demand)
+{
+    return cell.load.waitingWork == 0 && cell.sentCpu + demand.cpu <= static_cast<double>(usableCpu(cell.load));
+}
 
 bool canServeInTime(const CellView &cell, const CellDemand &demand)
 {
-    if (!isEligible(cell)) {
+    if (!acceptsJobs(cell)) {
         return false;
     }
     Duration wait = std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(expectedWaitMs(cell, demand)));
@@ -79,7 +82,7 @@
     enum class Group : std::uint8_t { OwnInTime, OtherInTime, Late };
     std::vector<std::tuple<Group, double, CellName>> ranked;
     for (const auto &[name, view] : cells) {
-        if (!isEligible(view)) {
+        if (!acceptsJobs(view)) {
             continue;
         }
         const double capacity = static_cast<double>(view.load.capacityCpu);
--- a/src/node/cell_directory.h
+++ b/src/node/cell_directory.h
@@ -34,6 +34,12 @@
     Duration longestTask{}; ///< Longest estimate of a task; 0 if there is none.
 };
 
+/** @return Whether a cell has a leader and endpoints that take new jobs. Thread safety: any thread. */
+bool acceptsJobs(const CellView &cell);
+
+/** @return Whether a cell has room for a job of this demand at once, also after what this instance has sent. Thread safety: any thread. */
+bool hasRoomFor(const CellView &cell, const CellDemand &demand);
+
 /** @return Whether a job of this demand is expected to end in time in a cell. Thread safety: any thread. */
 bool canServeInTime(const CellView &cell, const CellDemand &demand);
 
--- a/src/node/link_message.cpp
+++ b/src/node/link_message.cpp
@@ -78,6 +78,24 @@
     return Json::array({message.call.value, message.cell.value});
 }
 
+Json toJson(const LinkTransfer &message)
+{
+    Json transfers = Json::array();
+    for (const JobTransfer &transfer : message.transfers) {
+        transfers.push_back(Json::array({transfer.job.value, lossesToJson(transfer.losses)}));
+    }
+    return Json::array({message.source.value, message.target.value, std::move(transfers)});
+}
+
+Json toJson(const LinkTransferDone &message)
+{
+    Json jobs = Json::array();
+    for (const JobId &job : message.jobs) {
+        jobs.push_back(job.value);
+    }
+    return Json::array({message.source.value, std::move(jobs)});
+}
+
 CellAdvert advertFromJson(const Json &json)
 {
     CellAdvert advert;
@@ -160,9 +178,28 @@
     return LinkWithdraw{CallId(counterFromJson(json.at(0), "call")), CellName(json.at(1).get<std::string>())};
 }
 
+LinkMessage transferFromJson(const Json &json)
+{
+    LinkTransfer message{CellName(json.at(0).get<std::string>()), CellName(json.at(1).get<std::string>()), {}};
+    for (const Json &entry : json.at(2)) {
+        message.transfers.push_back({JobId(entry.at(0).get<std::string>()), message.target, lossesFromJson(entry.at(1))});
+    }
+    return message;
+}
+
+LinkMessage transferDoneFromJson(const Json &json)
+{
+    LinkTransferDone message{CellName(json.at(0).get<std::string>()), {}};
+    for (const Json &job : json.at(1)) {
+        message.jobs.emplace_back(job.get<std::string>());
+    }
+    return message;
+}
+
 /** Decoders, by the index of the alternative in LinkMessage. */
 constexpr LinkMessage (*Decoders[])(const Json &)
-    = {helloFromJson, linkAdvertFromJson, submitFromJson, submitReplyFromJson, jobQuestionFromJson, jobReplyFromJson, withdrawFromJson};
+    = {helloFromJson,    linkAdvertFromJson, submitFromJson,   submitReplyFromJson, jobQuestionFromJson,
+       jobReplyFromJson, withdrawFromJson,   transferFromJson, transferDoneFromJson};
 
 } // namespace
 
--- a/src/node/link_message.h
+++ b/src/node/link_message.h
@@ -73,8 +73,22 @@
     JobAnswer answer;
 };
 
+/** Announces jobs that the sender's cell has handed over to a cell that the receiver leads, which answers with LinkTransferDone. */
+struct LinkTransfer {
+    CellName source; ///< Former cell of the jobs.
+    CellName target; ///< Present cell of the jobs.
+    std::vector<JobTransfer> transfers; ///< Their targets are not sent, as all are `target`.
+};
+
+/** Confirms that announced jobs are known to the leader of their present cell; sent to the leader of the former one. */
+struct LinkTransferDone {
+    CellName source; ///< Former cell of the jobs.
+    std::vector<JobId> jobs;
+};
+
 /** Any message. The index of the alternative is the type number on the wire. */
-using LinkMessage = std::variant<LinkHello, LinkAdvert, LinkSubmit, LinkSubmitReply, LinkJobQuestion, LinkJobReply, LinkWithdraw>;
+using LinkMessage = std::variant<LinkHello, LinkAdvert, LinkSubmit, LinkSubmitReply, LinkJobQuestion, LinkJobReply, LinkWithdraw,
+                                 LinkTransfer, LinkTransferDone>;
 
 /** @return The encoded message. Thread safety: any thread. */
 std::string encodeLinkMessage(const LinkMessage &message);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -564,6 +564,7 @@
         this->ledCells.at(cell).leader->advance(now);
         this->runActions(cell);
     }
+    this->planTransfers(now);
     this->retryCalls(now);
     if (now >= this->nextPlanAt) {
         this->planLeads(now);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -191,6 +191,20 @@
     template<typename Callback>
     void withLeader(const CellName &cell, std::uint64_t generation, Callback callback);
 
+    // node_transfers.cpp: transfer of stored jobs between cells.
+    using EndpointsByCell = std::map<CellName, std::vector<const EndpointRecord *>>; ///< Valid until `endpoints` changes.
+    void planTransfers(TimePoint now);
+    EndpointsByCell endpointsByCell() const;
+    std::optional<CellName> chooseTransferTarget(const CellName &source, const IdleJob &idle, const EndpointsByCell &byCell);
+    void announceTransfers(const LinkTransfer &announcement);
+    bool onTransfersAnnounced(const LinkTransfer &announcement); ///< @return Whether this instance leads the target.
+    void confirmTransfers(const LinkTransferDone &confirmation);
+    bool onTransfersConfirmed(const LinkTransferDone &confirmation); ///< @return Whether this instance leads the source.
+    void sendToLeader(const CellName &cell, const LinkMessage &message);
+    void readTransferredJob(const CellName &cell, std::uint64_t generation, const JobId &id);
+    void readTransferredProgress(const CellName &cell, const JobId &id, TransferredRows rows,
+                                 const std::function<void(TransferredRows)> &report);
+
     // node_evacuation.cpp: evacuated failure domains.
     void applyEvacuations(TimePoint now);
     std::optional<TimePoint> startLimitOf(const CellName &cell) const; ///< For CellLeader::setEvacuated().
@@ -277,4 +291,15 @@
     std::multimap<TimePoint, std::function<void()>> delayedTasks; ///< Tasks by the time when they are due.
 };
 
+template<typename Callback>
+void Node::withLeader(const CellName &cell, std::uint64_t generation, Callback callback)
+{
+    const auto found = this->ledCells.find(cell);
+    if (found == this->ledCells.end() || found->second.generation != generation) {
+        return;
+    }
+    callback(*found->second.leader);
+    this->runActions(cell);
+}
+
 } // namespace Tanagertally::Cells
--- a/src/node/node_cells.cpp
+++ b/src/node/node_cells.cpp
@@ -13,8 +13,11 @@
 constexpr Duration CellReadRetryDelay = std::chrono::milliseconds(150); // Delay after a failed read of a cell's rows.
 constexpr Duration EndpointFollowTime = std::chrono::seconds(10); // The registry is followed after a lead ends, as the lead may return.
 
-/** Tables with rows of a cell, in the order in which they are read. */
-constexpr std::array<std::string_view, 3> CellTables = {CellsTable, ProgressTable, JobsTable};
+/**
+ * Tables with rows of a cell, in the order in which they are read. Another cell may hand a job over between two of these reads, which
+ * writes its rows in both of the last two tables at once: its progress must not be missing where its job is found.
+ */
+constexpr std::array<std::string_view, 4> CellTables = {CellsTable, TransfersTable, JobsTable, ProgressTable};
 
 /** @return The error of a result; nothing if it holds a value. */
 template<typename T>
@@ -72,17 +75,6 @@
     return own;
 }
 
-template<typename Callback>
-void Node::withLeader(const CellName &cell, std::uint64_t generation, Callback callback)
-{
-    const auto found = this->ledCells.find(cell);
-    if (found == this->ledCells.end() || found->second.generation != generation) {
-        return;
-    }
-    callback(*found->second.leader);
-    this->runActions(cell);
-}
-
 void Node::runActions(const CellName &cell)
 {
     const auto found = this->ledCells.find(cell);
@@ -143,6 +135,13 @@
             },
             [&](AnswerSubmission &reply) { this->onSubmitAnswer(reply.call, std::move(reply.answer)); },
             [&](AnswerCancel &reply) { this->onJobAnswer(reply.call, reply.answer); },
+            [&](AnnounceTransfers &announcement) {
+                this->announceTransfers({cell, announcement.target, std::move(announcement.transfers)});
+            },
+            [&](ConfirmTransfers &confirmation) {
+                this->confirmTransfers({confirmation.source, std::move(confirmation.jobs)});
+            },
+            [&](ReadTransferredJob &read) { this->readTransferredJob(cell, generation, read.job); },
             [&](LeadEnded &ending) {
                 CellView &view = this->cells.at(cell);
                 this->ledCells.erase(cell);
@@ -195,6 +194,12 @@
                 if (!error) {
                     content->losses = std::move(losses).value();
                 }
+            } else if (row.key.table == TransfersTable) {
+                Result<JobTransfer> transfer = decodeTransfer(JobId(row.key.key), row.value);
+                error = errorOf(transfer);
+                if (!error) {
+                    content->transfers.push_back(std::move(transfer).value());
+                }
             } else if (row.key.table == ProgressTable) {
                 Result<JobProgress> progress = decodeProgress(row.value);
                 error = errorOf(progress);
--- a/src/node/node_peers.cpp
+++ b/src/node/node_peers.cpp
@@ -194,6 +194,8 @@
                            this->withdrawRemoteCall(found->first);
                        }
                    },
+                   [&](LinkTransfer &announcement) { this->onTransfersAnnounced(announcement); },
+                   [&](LinkTransferDone &confirmation) { this->onTransfersConfirmed(confirmation); },
                    [&](LinkSubmitReply &) {},
                    [&](LinkJobReply &) {},
                },
