Tasks at their last attempt try a suspect endpoint once its fault has passed

Cause: a suspect endpoint gets single runs as trials until one succeeds, and a trial wasn't given to a task at its last attempt. With no other task there, nothing ever took the suspicion back. Tasks that have to run alone after a crash were never given a suspect endpoint either.

Change: 7 s after the last failure, which is as long as such faults last, a suspect endpoint gives a trial to any task, still one at a time, and to a task that has to run alone if no other endpoint will do. Why it works: the suspicion ends by time if nothing else can end it.

Tests that failed before: TasksAtTheirLastAttemptRunOnceTheFaultOfTheirEndpointHasPassed (one attempt and two) and IsolatedTaskRunsOnceTheFaultOfTheOnlyEndpointHasPassed.

Ruled out: suspicion of a crash; a growing pause between trials (4 s at most).

--- a/src/cells/cell_dispatch.cpp
+++ b/src/cells/cell_dispatch.cpp
@@ -208,12 +208,12 @@
     StartOutcome outcome;
     std::deque<TaskRef> &waiting = job.waiting();
     std::vector<std::pair<std::uint32_t, bool>>
-        unplaced; // Steps, and whether those of their tasks that found no endpoint could take a trial.
+        unplaced; // Steps, and whether those of their tasks that found no endpoint have a spare attempt.
     std::size_t position = 0;
     while (position < waiting.size()) {
         const TaskRef &next = waiting[position];
-        const bool canTakeTrial = this->canTakeTrial(job, next);
-        const auto isStepOfNext = [&](const auto &entry) { return entry.first == next.step && (entry.second || !canTakeTrial); };
+        const bool hasSpare = hasSpareAttempt(job, next);
+        const auto isStepOfNext = [&](const auto &entry) { return entry.first == next.step && (entry.second || !hasSpare); };
         if (std::ranges::any_of(unplaced, isStepOfNext) || this->hasRunOf(next)) {
             ++position;
             continue;
@@ -221,8 +221,8 @@
         const PlacementChoice choice = this->chooseEndpoint(now, job, next);
         if (!choice.endpoint) {
             outcome.wasMissed = outcome.wasMissed || !choice.wasKnownUnfit;
-            unplaced.emplace_back(next.step, canTakeTrial);
-            if (job.spec.steps.size() == 1 && canTakeTrial) {
+            unplaced.emplace_back(next.step, hasSpare);
+            if (job.spec.steps.size() == 1 && hasSpare) {
                 break; // No other task can be placed either.
             }
             ++position;
@@ -236,9 +236,9 @@
     return outcome;
 }
 
-bool CellLeader::canTakeTrial(CellJob &job, const TaskRef &task) const
+bool CellLeader::hasSpareAttempt(CellJob &job, const TaskRef &task)
 {
-    return job.task(task).failures + 1 < job.terms.maxAttempts; // A trial must not use up a task's last attempt.
+    return job.task(task).failures + 1 < job.terms.maxAttempts; // A trial must not use up the last one while the endpoint's fault may last.
 }
 
 PlacementChoice CellLeader::chooseEndpoint(TimePoint now, CellJob &job, const TaskRef &task)
@@ -251,7 +251,7 @@
                                 objective,
                                 objective - pathAfter,
                                 job.acceptedAt + LateFactor * job.urgency.objective - pathAfter,
-                                this->canTakeTrial(job, task)};
+                                hasSpareAttempt(job, task)};
     const PlacementChoice choice = this->placementPass(now, job.terms.service).choose(now, request, this->remoteFactor);
     if (choice.awaited) {
         this->logDeferral(now, job, task, *choice.awaited);
@@ -285,7 +285,7 @@
     this->gatheredCount += this->endpoints.size();
     for (const auto &[name, endpoint] : this->endpoints) {
         if (endpoint->record.service == service && this->canPlace(now, *endpoint)) {
-            pass.add(*endpoint, endpoint->health.slowness(now), endpoint->health.isSuspect());
+            pass.add(*endpoint, endpoint->health.slowness(now), endpoint->health.trialTerms(now));
         }
     }
     return pass;
--- a/src/cells/cell_isolation.cpp
+++ b/src/cells/cell_isolation.cpp
@@ -163,13 +163,14 @@
 CellEndpoint *CellLeader::chooseForIsolation(TimePoint now, const CellJob &job, const TaskRef &task)
 {
     // Compared lexicographically; the smallest rank is the best.
-    using Rank = std::tuple<TimePoint, bool, bool, double>;
+    using Rank = std::tuple<bool, TimePoint, bool, bool, double>;
     const StepSpec &step = job.step(task);
     CellEndpoint *best = nullptr;
     Rank bestRank;
     for (auto &[name, endpoint] : this->endpoints) {
         const EndpointRecord &record = endpoint->record;
-        if (record.service != job.terms.service || !this->canPlace(now, *endpoint) || endpoint->health.isSuspect()
+        const TrialTerms trial = endpoint->health.trialTerms(now);
+        if (record.service != job.terms.service || !this->canPlace(now, *endpoint) || trial == TrialTerms::SpareAttempts
             || !canEverRun(record, step)) {
             continue;
         }
@@ -178,7 +179,8 @@
             emptyAt = std::max(emptyAt, this->expectedEnd(*endpoint, other, now));
         }
         // An endpoint that crashes by itself would be held against the task.
-        const Rank rank{emptyAt, this->crashes.hasLossAt(record.address), isFarFromData(record, step), endpoint->health.slowness(now)};
+        const Rank rank{trial != TrialTerms::None, emptyAt, this->crashes.hasLossAt(record.address), isFarFromData(record, step),
+                        endpoint->health.slowness(now)};
         if (!best || rank < bestRank) {
             best = endpoint.get();
             bestRank = rank;
--- a/src/cells/cell_leader.h
+++ b/src/cells/cell_leader.h
@@ -83,7 +83,8 @@
 
     /**
      * Evacuates the cell, or reopens it. An evacuated cell takes no new jobs and hands back best-effort jobs that were never started; from
-     * `startsUntil` on it starts nothing, and answers best-effort jobs that can't go on as unknown. Stored jobs wait until it is reopened or another cell takes them.
+     * `startsUntil` on it starts nothing, and answers best-effort jobs that can't go on as unknown. Stored jobs wait until it is reopened
+     * or another cell takes them.
      * @param startsUntil Time until which tasks of started jobs may be started; unset to reopen the cell. The first one of an evacuation
      * counts.
      */
@@ -305,7 +306,7 @@
     std::int64_t largestFreeCpu(TimePoint now) const;
     void sweepReadyJobs(TimePoint now, const ReadyPass &pass); ///< Starts stored jobs behind those that a pass in order has looked at.
     StartOutcome startWaitingTasks(TimePoint now, CellJob &job);
-    bool canTakeTrial(CellJob &job, const TaskRef &task) const; ///< @return Whether a task may run on a suspect endpoint.
+    static bool hasSpareAttempt(CellJob &job, const TaskRef &task); ///< @return Whether a task may fail without failing its job.
     PlacementChoice chooseEndpoint(TimePoint now, CellJob &job, const TaskRef &task);
     void startRun(TimePoint now, CellJob &job, const TaskRef &task, CellEndpoint &endpoint);
     std::uint64_t lastFormerRunNumber(const CellJob &job) const; ///< @return Number that former leaders' runs of a job don't exceed.
--- a/src/cells/endpoint_health.cpp
+++ b/src/cells/endpoint_health.cpp
@@ -9,7 +9,8 @@
 
 constexpr std::uint32_t FailuresUntilSuspect = 2; // Consecutive failures of different jobs; a single job may fail by its own fault.
 constexpr Duration FirstSuspectPeriod = std::chrono::milliseconds(400); // Short, as two faulty jobs may have run in a row by coincidence.
-constexpr Duration MaxSuspectPeriod = std::chrono::seconds(4); // Endpoint faults of this kind last 5 to 7 s.
+constexpr Duration LongestFault = std::chrono::seconds(7); // Endpoint faults of this kind last 5 to 7 s.
+constexpr Duration MaxSuspectPeriod = std::chrono::seconds(4); // Finds the end of such a fault within about half of its length.
 constexpr double RatioWeight = 0.3; // Weight of a new run time: three runs move the mean by two thirds.
 constexpr double MaxRatio = 10; // Limits how long one stalled run affects an endpoint.
 constexpr Duration RatioHalfLife = std::chrono::seconds(2); // An endpoint without runs is used again after a few seconds.
@@ -36,6 +37,7 @@
 
 void EndpointHealth::recordFailure(TimePoint now, const JobId &job)
 {
+    this->lastFailureAt = now;
     if (job == this->lastFailedJob) {
         return;
     }
@@ -63,6 +65,14 @@
     return now >= this->suspectUntil;
 }
 
+TrialTerms EndpointHealth::trialTerms(TimePoint now) const
+{
+    if (!this->isSuspect()) {
+        return TrialTerms::None;
+    }
+    return now >= this->lastFailureAt + LongestFault ? TrialTerms::AnyAttempt : TrialTerms::SpareAttempts;
+}
+
 double EndpointHealth::slowness(TimePoint now) const
 {
     const double halves = std::chrono::duration<double>(now - this->ratioAt) / std::chrono::duration<double>(RatioHalfLife);
--- a/src/cells/endpoint_health.h
+++ b/src/cells/endpoint_health.h
@@ -10,6 +10,13 @@
 
 namespace Tanagertally::Cells {
 
+/** Which tasks a suspect endpoint may get for a trial. */
+enum class TrialTerms : std::uint8_t {
+    None, ///< The endpoint isn't suspect and takes any number of tasks.
+    SpareAttempts, ///< Tasks that have another attempt if the trial fails.
+    AnyAttempt, ///< Any task, as the last failure is so long ago that a fault of the endpoint has passed.
+};
+
 /**
  * Health of one endpoint as judged from its runs. Thread safety: none.
  */
@@ -34,6 +41,9 @@
     /** @return Whether a trial run may start on a suspect endpoint. */
     bool isTrialDue(TimePoint now) const;
 
+    /** @return Which tasks a trial run may be of; None if the endpoint isn't suspect. */
+    TrialTerms trialTerms(TimePoint now) const;
+
     /** @return Moving mean of run time divided by estimate; 1 if nothing is known. */
     double slowness(TimePoint now) const;
 
@@ -43,6 +53,7 @@
 private:
     std::uint32_t consecutiveFailures = 0; ///< Failed runs of different jobs since the last successful run.
     JobId lastFailedJob; ///< Job of the last failed run.
+    TimePoint lastFailureAt; ///< When the last failed run was recorded.
     TimePoint suspectUntil; ///< When the next trial is due.
     Duration suspectPeriod{}; ///< Length of the current suspect period; doubles with each failed trial.
     double ratio = 1; ///< Moving mean of run time divided by estimate, as of `ratioAt`; decays towards 1 without runs.
--- a/src/cells/placement.cpp
+++ b/src/cells/placement.cpp
@@ -106,7 +106,7 @@
     this->areSpeedsEven = true;
 }
 
-void PlacementPass::add(CellEndpoint &endpoint, double slowness, bool isTrial)
+void PlacementPass::add(CellEndpoint &endpoint, double slowness, TrialTerms trial)
 {
     this->leastSlowness = this->candidates.empty() ? slowness : std::min(this->leastSlowness, slowness);
     this->greatestSlowness = this->candidates.empty() ? slowness : std::max(this->greatestSlowness, slowness);
@@ -118,7 +118,7 @@
         this->fastCpu += endpoint.record.capacity.cpu;
         this->freeFastCpu += std::max<std::int64_t>(0, endpoint.freeResources().cpu);
     }
-    this->candidates.push_back({&endpoint, slowness, isTrial, {}});
+    this->candidates.push_back({&endpoint, slowness, trial, {}});
 }
 
 const ServiceName &PlacementPass::service() const
@@ -142,14 +142,18 @@
 bool PlacementPass::Needs::isImpliedBy(const Needs &other) const
 {
     const bool isRequirementImplied = this->requirement.empty() || this->requirement == other.requirement;
-    return this->demand.fitsInto(other.demand) && isRequirementImplied && (this->canTakeTrial || !other.canTakeTrial);
+    return this->demand.fitsInto(other.demand) && isRequirementImplied && (this->hasSpareAttempt || !other.hasSpareAttempt);
 }
 
 bool PlacementPass::fits(const PlacementCandidate &candidate, const PlacementTask &task)
 {
     const CellEndpoint &endpoint = *candidate.endpoint;
-    const bool isTrialRefused = candidate.isTrial && (!task.canTakeTrial || !endpoint.runs.empty());
-    return !isTrialRefused && task.step.demand.fitsInto(endpoint.freeResources()) && canEverRun(endpoint.record, task.step);
+    const bool isForSpareAttempts = candidate.trial == TrialTerms::SpareAttempts;
+    const bool isTrialUnderWay = candidate.trial != TrialTerms::None && !endpoint.runs.empty();
+    if (isTrialUnderWay || (isForSpareAttempts && !task.hasSpareAttempt)) {
+        return false;
+    }
+    return task.step.demand.fitsInto(endpoint.freeResources()) && canEverRun(endpoint.record, task.step);
 }
 
 bool PlacementPass::isWithinStepLimit(const PlacementCandidate &candidate, const PlacementTask &task)
@@ -187,7 +191,7 @@
     // Compared lexicographically; the smallest rank is the best.
     using Rank = std::tuple<bool, ExpectedEnd, bool, double, int, std::int64_t, std::int64_t>;
     const StepSpec &step = task.step;
-    const Needs needs{step.demand, step.requirement, task.canTakeTrial};
+    const Needs needs{step.demand, step.requirement, task.hasSpareAttempt};
     if (this->isKnownUnfit(needs)) {
         return {nullptr, nullptr, true};
     }
@@ -238,7 +242,7 @@
     for (PlacementCandidate &candidate : this->candidates) {
         const CellEndpoint &endpoint = *candidate.endpoint;
         const TimePoint latestStart = task.dueAt - expectedRunTime(endpoint, task.step, remoteFactor) - EndDelay;
-        const bool isEligible = latestStart > now && !candidate.isTrial && candidate.slowness < MinRelevantSlowness
+        const bool isEligible = latestStart > now && candidate.trial == TrialTerms::None && candidate.slowness < MinRelevantSlowness
                                 && endpoint.record.name != task.avoid && canEverRun(endpoint.record, task.step)
                                 && isWithinStepLimit(candidate, task);
         if (!isEligible) {
--- a/src/cells/placement.h
+++ b/src/cells/placement.h
@@ -59,7 +59,7 @@
 struct PlacementCandidate {
     CellEndpoint *endpoint = nullptr; ///< Never null; not owned.
     double slowness = 1; ///< From EndpointHealth::slowness().
-    bool isTrial = false; ///< Whether the endpoint is suspect, so that it may get one run at a time only.
+    TrialTerms trial = TrialTerms::None; ///< Whether the endpoint is suspect, so that it may get one run at a time only.
     Resources promised; ///< Capacity that tasks of this pass wait for.
 };
 
@@ -71,7 +71,7 @@
     TimePoint objective; ///< Time by which the whole job has to end.
     TimePoint dueAt; ///< Time by which the task has to end so that its job ends in time.
     TimePoint worthlessAt; ///< Time after which the task's end has no value.
-    bool canTakeTrial = true; ///< Whether the task may run on a suspect endpoint.
+    bool hasSpareAttempt = true; ///< Whether the task may fail without failing its job.
 };
 
 /** Where to run a task. */
@@ -92,7 +92,7 @@
     void begin(ServiceName passService, std::int64_t recentDemand);
 
     /** Adds an endpoint that accepts work. @param slowness From EndpointHealth::slowness(). */
-    void add(CellEndpoint &endpoint, double slowness, bool isTrial);
+    void add(CellEndpoint &endpoint, double slowness, TrialTerms trial);
 
     /** @return Service of the endpoints. */
     const ServiceName &service() const;
@@ -118,7 +118,7 @@
     struct Needs {
         Resources demand;
         std::string requirement; ///< Label that an endpoint must have; empty for none.
-        bool canTakeTrial = true; ///< Whether a suspect endpoint will do.
+        bool hasSpareAttempt = true; ///< Whether a suspect endpoint will do that takes tasks with a spare attempt only.
 
         /** @return Whether an endpoint that meets `other` meets these needs as well. */
         bool isImpliedBy(const Needs &other) const;
--- a/src/cells/tests/placement_test.cpp
+++ b/src/cells/tests/placement_test.cpp
@@ -54,7 +54,7 @@
     {
         this->pass.begin(Service, typicalCores * 1000);
         for (const auto &endpoint : this->endpoints) {
-            this->pass.add(*endpoint, 1, false);
+            this->pass.add(*endpoint, 1, TrialTerms::None);
         }
         return this->placeNext(cores, estimate, left);
     }
@@ -177,8 +177,8 @@
     labelled.record.labels = {"rare"};
     this->step.requirement = "rare";
     this->pass.begin(Service, 0);
-    this->pass.add(*this->endpoints[0], 1, false);
-    this->pass.add(labelled, 5, false);
+    this->pass.add(*this->endpoints[0], 1, TrialTerms::None);
+    this->pass.add(labelled, 5, TrialTerms::None);
     BOOST_TEST(this->placeNext(1, 500ms, 1s) == 1);
 }
 
@@ -189,7 +189,7 @@
     this->add(8);
     this->pass.begin(Service, 0);
     for (const auto &endpoint : this->endpoints) {
-        this->pass.add(*endpoint, 1, false);
+        this->pass.add(*endpoint, 1, TrialTerms::None);
     }
     this->step.demand = {9000, 0, 0};
     const PlacementTask task{this->ref, this->step, this->noEndpoint, Now, Now, Now};
--- a/src/cells/tests/runnable_test.cpp
+++ b/src/cells/tests/runnable_test.cpp
@@ -12,6 +12,8 @@
 
 constexpr Duration IdleBound = 3s; // In which a task that could run has to be running, specified by the platform.
 
+constexpr Duration FaultLength = 6500ms; // The longest fault of endpoints that fail all runs, specified by the platform.
+constexpr Duration FinishTime = 14s; // After which accepted jobs are asked for, specified by the platform.
 constexpr Duration Target = 60s; // Jobs that wait are in time throughout a test, so that the oldest ones come first.
 
 const std::string CommonLabel = "common";
@@ -116,4 +118,64 @@
     BOOST_TEST(this->world.startsOf({jobId(2), 1, 1}) == 1U);
 }
 
+// Guards against tasks at their last attempt that are never started, because all endpoints of their cell have failed several runs and
+// nothing else is there to try them with.
+BOOST_AUTO_TEST_CASE(TasksAtTheirLastAttemptRunOnceTheFaultOfTheirEndpointHasPassed)
+{
+    for (const std::uint32_t maxAttempts : {1U, 2U}) {
+        CellWorld world(1);
+        const std::size_t leader = world.addLeader();
+        world.advanceTime(1s);
+        world.runOutcome = [] { return RunOutcome::Failed; };
+        for (std::uint64_t number = 0; number < 6; ++number) {
+            world.submit(leader, jobId(number), 1, false, maxAttempts);
+            world.advanceTime(20ms);
+        }
+        world.advanceTime(FaultLength);
+        world.runOutcome = [] { return RunOutcome::Done; };
+        std::size_t failed = 0;
+        for (std::uint64_t number = 0; number < 6; ++number) {
+            failed += world.shows(leader, jobId(number), JobState::Failed) ? 1U : 0U;
+        }
+        BOOST_TEST(failed <= 4U); // Two failures show that the endpoint fails; two runs may have been under way.
+        world.advanceTime(FinishTime);
+        for (std::uint64_t number = 0; number < 6; ++number) {
+            const bool hasEnded
+                = world.shows(leader, jobId(number), JobState::Done) || world.shows(leader, jobId(number), JobState::Failed);
+            BOOST_TEST(hasEnded);
+            failed -= world.shows(leader, jobId(number), JobState::Failed) ? 1U : 0U;
+        }
+        BOOST_TEST(failed == 0U); // None that had an attempt left at the end of the fault.
+        BOOST_TEST(world.violations.empty());
+    }
+}
+
+// Guards against a task that has to run alone and never does, because all endpoints of its cell have failed several runs.
+BOOST_AUTO_TEST_CASE(IsolatedTaskRunsOnceTheFaultOfTheOnlyEndpointHasPassed)
+{
+    CellWorld world(2);
+    const std::size_t leader = world.addLeader();
+    world.advanceTime(1s);
+    world.workTime = 60s;
+    world.submit(leader, jobId(1), 1);
+    world.advanceTime(100ms);
+    const std::size_t used = world.endpoints[0].runs.empty() ? 1 : 0;
+    world.endpoints[used].isReachable = false;
+    world.endpoints[used].runs.clear();
+    world.workTime = 60ms;
+    world.runOutcome = [] { return RunOutcome::Failed; };
+    for (std::uint64_t number = 2; number < 5; ++number) {
+        world.submit(leader, jobId(number), 1, false, 1);
+        world.advanceTime(20ms);
+    }
+    world.advanceTime(1s);
+    world.endpoints[used].isUp = false;
+    world.registerEndpoints(leader);
+    world.advanceTime(FaultLength - 1s);
+    world.runOutcome = [] { return RunOutcome::Done; };
+    world.advanceTime(FinishTime);
+    BOOST_TEST(world.shows(leader, jobId(1), JobState::Done));
+    BOOST_TEST(world.violations.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
