Schedules check that accepted work which something could run does run

The schedules only asked that accepted jobs have ended 20 s after the faults, on endpoints that are all alike.

Change: IdleWatch looks ten times a second at each accepted job once the faults are over: nothing of it running for 3 s, while there is room for its task twice over and under half of the capacity is in use, is a violation (the bound is the platform's). It watches all families of schedules, and a new one in which one job of two needs an endpoint that leaves for good.

Not covered by it: endpoints that fail for seconds (runnable_test), several cells (transfer_test).

--- a/src/cells/tests/random_test.cpp
+++ b/src/cells/tests/random_test.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 
+const std::string RareLabel = "rare";
 constexpr std::uint64_t Schedules = 2000; // Takes about 10 s of processor time.
 
 JobId jobId(std::uint64_t number)
@@ -33,12 +34,54 @@
 struct ScheduleTerms {
     bool haveRestarts = false; ///< Whether endpoints report births and restart under their names.
     bool haveSteps = false; ///< Whether jobs have a second step that follows the first one.
+    bool haveRareLabel = false; ///< Whether one job of two needs an endpoint for its last step that leaves for good in the end.
+    Duration target = 60ms; ///< Time that callers accept beyond the ideal run time; with a long one the oldest jobs come first throughout.
     std::uint32_t maxAttempts = 8; ///< Failed runs of a task after which its job fails.
     std::uint64_t runsPerFailure = 30; ///< Mean number of runs of which one fails.
 };
 
+/**
+ * Watches that accepted work which something could run does run: a stored job must not have nothing running for IdleBound while there is
+ * room for its next task twice over and under half of the capacity is in use.
+ */
+class IdleWatch
+{
+public:
+    /** Looks at all accepted jobs; to be called several times a second while nothing is disturbed. */
+    void observe(CellWorld &world, std::size_t leader, const std::set<JobId> &accepted)
+    {
+        std::size_t capacity = 0;
+        std::size_t used = 0;
+        std::set<JobId> running;
+        for (const EndpointModel &endpoint : world.endpoints) {
+            capacity += endpoint.isUp ? endpoint.slots : 0;
+            used += endpoint.runs.size();
+            for (const ModelRun &run : endpoint.runs) {
+                running.insert(run.task.job);
+            }
+        }
+        const bool hasRoom = capacity - used >= 2 && 2 * used < capacity;
+        for (const JobId &id : accepted) {
+            const bool isOpen = world.shows(leader, id, JobState::Queued) || world.shows(leader, id, JobState::Running);
+            if (!isOpen || !hasRoom || running.contains(id)) {
+                this->idleSince.erase(id);
+                continue;
+            }
+            const TimePoint since = this->idleSince.try_emplace(id, world.now).first->second;
+            if (world.now - since > IdleBound) {
+                world.violations.push_back("nothing of accepted job " + id.value + " runs although there is room");
+                this->idleSince.erase(id);
+            }
+        }
+    }
+
+private:
+    static constexpr Duration IdleBound = 3s; // Specified by the platform.
+    std::map<JobId, TimePoint> idleSince;
+};
+
 /** @return A kept job of one step, or of two. */
-JobSpec specOf(const CellWorld &world, const ScheduleTerms &terms, std::uint32_t count, bool isBestEffort)
+JobSpec specOf(const CellWorld &world, const ScheduleTerms &terms, std::uint32_t count, bool isBestEffort, bool needsRareLabel)
 {
     StepSpec step;
     step.count = count;
@@ -49,6 +92,9 @@
         step.after = {0};
         spec.steps.push_back(step);
     }
+    if (needsRareLabel) {
+        spec.steps.back().requirement = RareLabel;
+    }
     return spec;
 }
 
@@ -66,6 +112,9 @@
     std::map<TaskRef, std::uint32_t> failures; // Failed runs by task.
     unsigned faultPercent = 0;
     world.doRestartsEndLateOrders = true; // No leader can prevent that an order to a former incarnation starts a task a second time.
+    if (terms.haveRareLabel) {
+        world.endpoints.back().record.labels = {RareLabel};
+    }
     for (EndpointModel &endpoint : world.endpoints) {
         endpoint.record.born = haveRestarts ? std::optional<std::int64_t>(1) : std::nullopt;
         endpoint.onEnd = [&failures](const ListedEnd &end) { failures[end.task] += end.outcome == RunOutcome::Failed ? 1 : 0; };
@@ -127,9 +176,10 @@
             const JobId id = jobId(nextJob++);
             const auto count = static_cast<std::uint32_t>(1 + drawBelow(world.random, 4));
             const bool isBestEffort = drawBelow(world.random, 3) == 0;
-            const CallId call = world.submit(leader, id, specOf(world, terms, count, isBestEffort),
-                                             JobTerms{QueueName("queue"), ServiceName("service"), 0, terms.maxAttempts, 1.6, 60ms});
-            if (!isBestEffort) {
+            const bool needsRareLabel = terms.haveRareLabel && drawBelow(world.random, 2) == 0;
+            const CallId call = world.submit(leader, id, specOf(world, terms, count, isBestEffort, needsRareLabel),
+                                             JobTerms{QueueName("queue"), ServiceName("service"), 0, terms.maxAttempts, 1.6, terms.target});
+            if (!isBestEffort && !needsRareLabel) {
                 submitted[id] = {leader, call};
             }
             break;
@@ -150,11 +200,19 @@
             leader = world.addLeader();
         }
     }
-    if (haveRestarts) {
+    if (terms.haveRareLabel) {
+        world.endpoints.back().isUp = false;
+        world.endpoints.back().runs.clear();
+    }
+    if (haveRestarts || terms.haveRareLabel) {
         world.registerEndpoints(leader);
     }
-    world.advanceTime(20s);
-    recordAccepted();
+    IdleWatch idleWatch;
+    for (const TimePoint end = world.now + 20s; world.now < end;) {
+        world.advanceTime(100ms);
+        recordAccepted();
+        idleWatch.observe(world, leader, accepted);
+    }
     for (const JobId &id : accepted) {
         if (!world.shows(leader, id, JobState::Done) && !world.shows(leader, id, JobState::Failed)) {
             world.violations.push_back("accepted job " + id.value + " has not ended");
@@ -189,6 +247,12 @@
     checkSchedules({.haveRestarts = true});
 }
 
+// Guards against jobs that wait for what has left, and keep others from endpoints that have room.
+BOOST_AUTO_TEST_CASE(JobsRunWhereThereIsRoomWhileOthersWaitForAnEndpointThatHasLeft)
+{
+    checkSchedules({.haveSteps = true, .haveRareLabel = true, .target = 60s});
+}
+
 // Guards against failed runs that two leaders count, or none.
 BOOST_AUTO_TEST_CASE(InvariantsHoldWhileRunsFailAndLeadersChange)
 {
