--- a/src/cells/cell_job.cpp
+++ b/src/cells/cell_job.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cassert>
-#include <ranges>
 
 namespace Tanagertally::Cells {
 
@@ -239,11 +238,14 @@
 std::int64_t CellJob::smallestWaitingCpu() const
 {
     assert(!this->waitingTasks.empty());
-    const auto cpuOf = [this](const TaskRef &ref) { return this->step(ref).demand.cpu; };
+    std::int64_t smallest = this->step(this->waitingTasks.front()).demand.cpu;
     if (this->spec.steps.size() == 1) {
-        return cpuOf(this->waitingTasks.front());
+        return smallest;
     }
-    return std::ranges::min(this->waitingTasks | std::views::transform(cpuOf));
+    for (const TaskRef &ref : this->waitingTasks) {
+        smallest = std::min(smallest, this->step(ref).demand.cpu);
+    }
+    return smallest;
 }
 
 double CellJob::waitingWork() const
