--- a/src/node/node_transfers.cpp
+++ b/src/node/node_transfers.cpp
@@ -58,7 +58,9 @@
     CellView *best = nullptr;
     CellName bestName;
     Rank bestRank;
-    for (const auto &[name, records] : byCell) {
+    for (const auto &entry : byCell) {
+        const CellName &name = entry.first;
+        const std::vector<const EndpointRecord *> &records = entry.second;
         const auto canRun = [&](std::uint32_t step) {
             return std::ranges::any_of(records, [&](const EndpointRecord *record) {
                 return record->service == job.terms.service && canEverRun(*record, job.spec.steps[step]);
