A stored job that is cancelled while it waits leaves the waiting ones at once

Cause: cancelling a job clears its waiting tasks, but the job stayed among the ready ones until its end was stored.

Change: cancel() takes the job out of the ready ones, as all other ends of jobs do: applyEnd and failDeadlyJob do so right after the end, the ends of best-effort jobs in finishBestEffort.

Test that failed before: JobThatIsCancelledWhileItWaitsIsNoLongerAmongTheWaitingOnes (abort).

--- a/src/cells/cell_leader_jobs.cpp
+++ b/src/cells/cell_leader_jobs.cpp
@@ -449,6 +449,7 @@
     if (!isFinal(job->state)) {
         this->log("job-cancelled", {{"job", id.value}, {"running", toText(job->placedTasks)}});
         job->end(JobState::Cancelled);
+        this->removeFromReadyJobs(*job);
         this->stopRuns(now, id);
         this->markProgressDirty(now, *job);
     }
--- a/src/cells/tests/runnable_test.cpp
+++ b/src/cells/tests/runnable_test.cpp
@@ -178,4 +178,28 @@
     BOOST_TEST(world.violations.empty());
 }
 
+// Guards against a process that ends by itself: a stored job is cancelled while it waits, and stays among the waiting jobs without a task
+// until its end is stored.
+BOOST_AUTO_TEST_CASE(JobThatIsCancelledWhileItWaitsIsNoLongerAmongTheWaitingOnes)
+{
+    CellWorld world(1);
+    const std::size_t leader = world.addLeader();
+    world.advanceTime(1s);
+    world.workTime = 300ms;
+    world.submit(leader, jobId(1), 2);
+    world.advanceTime(50ms);
+    world.submit(leader, jobId(2), 1);
+    world.submit(leader, jobId(3), 1);
+    world.advanceTime(50ms);
+    BOOST_TEST_REQUIRE(world.startsOf({jobId(2), 0, 0}) == 0U);
+    world.storeOutcome = [] { return CallOutcome::Refused; };
+    world.cancel(leader, jobId(2));
+    world.advanceTime(500ms); // The endpoint has room again before the cancellation is stored.
+    BOOST_TEST(world.startsOf({jobId(2), 0, 0}) == 0U);
+    BOOST_TEST(world.startsOf({jobId(3), 0, 0}) == 1U);
+    world.storeOutcome = [] { return CallOutcome::Answered; };
+    world.advanceTime(1s);
+    BOOST_TEST(world.shows(leader, jobId(2), JobState::Cancelled));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
