A new leader reckons with the leases that its predecessor granted

Cause: a leader counts the leases that it granted itself, and those of runs that it finds on an endpoint. An endpoint on which nothing runs any more may still hold a lease of the former leader, up to 1 s long. A start order is valid for 0.8 s and doesn't shorten that lease. If the endpoint falls silent before the new leader can renew it, the leader takes the lease for expired after 0.8 s and repeats the task elsewhere while the first run lives for up to 0.18 s more.

Evidence: TaskIsNotRepeatedWhileALeaseOfAFormerLeaderMayLast, over 15 moments of the crash, failed for six of them before (crash up to 10 ms after the last end: "two runs at a time"), and passes now.

Why it works: an order of the former leader reaches an endpoint before it lists its runs to the new one, or is refused by its fencing token. So its lease ends 1 s after the first listing at the latest, on the endpoint's clock. The same holds for an endpoint that leaves the registry and returns to the same leader.

cells_test: 189 cases, no errors; node_test: no errors.

--- a/src/cells/cell_dispatch.cpp
+++ b/src/cells/cell_dispatch.cpp
@@ -621,6 +621,10 @@
         endpoint->lastContactAt = now;
         endpoint->wasLostIsolated = false;
         endpoint->updateClock(now, result.clockMs);
+        if (!endpoint->hasListedRuns) {
+            // A former leader may have just granted the longest lease, whether or not anything of it still runs.
+            endpoint->recordGrant(result.clockMs + toMs(this->options.lease.longest));
+        }
         this->isCrashRowDirty = this->crashes.onAnswered(name, result.born) || this->isCrashRowDirty;
         endpoint->recordAcknowledgement(endpoint->sentAcknowledgement);
         endpoint->lastListedAt = now;
