--- a/src/node/tests/calls_test.cpp
+++ b/src/node/tests/calls_test.cpp
@@ -210,7 +210,7 @@
 BOOST_FIXTURE_TEST_CASE(LeaderThatHearsOfASuccessorGivesNoMoreOrders, ThreeNodes)
 {
     const std::size_t leader = *this->fleet.leader();
-    const LinkHandle link = this->entry + 1;
+    const LinkHandle link = this->fleet.nodes[this->entry].links.at(leader).handle;
     LinkAdvert advert;
     advert.cells.push_back({this->fleet.cell, FenceToken(this->fleet.tokenOf(this->fleet.cell).value + 1), Duration{}, CellLoad()});
     this->fleet.nodes[leader].handlers.onRequest(link, encodeLinkMessage(advert));
--- a/src/node/tests/node_world.cpp
+++ b/src/node/tests/node_world.cpp
@@ -9,13 +9,30 @@
 namespace {
 
 constexpr Duration LinkDelay = std::chrono::milliseconds(1);
-constexpr Duration StopTimeout = std::chrono::milliseconds(400); // Of a stop that gets no answer.
+constexpr Duration RedialInterval = std::chrono::milliseconds(250); // As in PeerBus.
 constexpr Duration DeadLinkSilence = std::chrono::milliseconds(1200); // Four ping intervals of PeerBus.
+constexpr Duration StoreTimeout = std::chrono::milliseconds(400); // Of a call to the store that gets no answer.
+constexpr Duration OrderTimeout = std::chrono::milliseconds(150); // Of a start or stop that gets no answer.
+constexpr Duration LostStopTimeout = std::chrono::milliseconds(400); // Of a stop that CellWorld::stopOutcome loses.
+constexpr Duration HoldMargin = std::chrono::milliseconds(250); // Added to the time for which a hold may wait.
+constexpr unsigned IndexBits = 8; // Of a link's handle, for the index of the node that opened it.
 
-/** @return Handle of the links that a node opened; never 0, which marks a local call in Node. */
-LinkHandle handleOf(std::size_t node)
+/** Result of a stop order; unknown by default. */
+struct StopAnswer {
+    StopResult result = StopResult::Unknown;
+};
+
+HoldResult holdRefusedAs(HoldResult::Kind kind)
 {
-    return node + 1;
+    HoldResult result;
+    result.kind = kind;
+    return result;
+}
+
+/** @return Index of the node that opened a link. */
+std::size_t openerOf(LinkHandle handle)
+{
+    return handle & ((1U << IndexBits) - 1);
 }
 
 } // namespace
@@ -23,43 +40,70 @@
 NodeWorld::NodeWorld(std::size_t nodeCount, std::size_t endpointCount, bool hasOtherCell, bool hasOtherNode, double firstCoreShare,
                      bool areEvacuationsKnown, bool doEndpointsAnswer)
     : world(endpointCount)
-    , nodes(nodeCount)
+    , domains{FailureDomain("cell")}
 {
     this->world.onTick = [this] { this->tick(); };
     for (EndpointModel &endpoint : this->world.endpoints) {
         endpoint.isUp = doEndpointsAnswer;
     }
-    std::vector<FailureDomain> domains = {FailureDomain("cell")};
     if (hasOtherCell) {
-        domains.emplace_back("other");
+        this->domains.emplace_back("other");
         this->world.endpoints.back().record.domain = FailureDomain("other");
     }
+    this->nodes.reserve(nodeCount);
     for (std::size_t index = 0; index < nodeCount; ++index) {
-        WorldNode &entry = this->nodes[index];
-        entry.record = {InstanceName("i" + std::to_string(index)),
-                        Incarnation(index + 1),
-                        NetAddress("10.1.0." + std::to_string(index) + ":1"),
-                        FailureDomain(hasOtherNode && index + 1 == nodeCount ? "other" : "cell"),
-                        index == 0 ? firstCoreShare : 0.25,
-                        false};
-        entry.node = std::make_unique<Node>(
-            NodeOptions{entry.record, domains, LeaseTerms(), std::chrono::milliseconds(100), std::chrono::seconds(5)},
-            this->portsOf(index));
-        entry.handlers = entry.node->linkHandlers();
-        entry.node->connect(this->linksOf(index));
-        if (areEvacuationsKnown) {
-            entry.node->setEvacuations({});
-        }
-        std::vector<EndpointRecord> records;
-        for (const EndpointModel &endpoint : this->world.endpoints) {
-            records.push_back(endpoint.record);
-        }
-        entry.node->setEndpoints(records);
+        const bool isOther = hasOtherNode && index + 1 == nodeCount;
+        this->addNode(FailureDomain(isOther ? "other" : "cell"), index == 0 ? firstCoreShare : 0.25, areEvacuationsKnown);
     }
     this->world.advanceUntil([this] { return this->leader().has_value(); }, std::chrono::seconds(5));
     this->world.advanceTime(std::chrono::milliseconds(500));
 }
 
+NodeWorld::NodeWorld(const WorldLayout &layout, std::uint64_t seed)
+    : world(layout.endpoints.size(), seed)
+{
+    this->world.onTick = [this] { this->tick(); };
+    for (std::size_t index = 0; index < layout.endpoints.size(); ++index) {
+        const FailureDomain &domain = layout.endpoints[index];
+        this->world.endpoints[index].record.domain = domain;
+        if (std::ranges::find(this->domains, domain) == this->domains.end()) {
+            this->domains.push_back(domain);
+        }
+    }
+    this->nodes.reserve(layout.nodes.size());
+    for (const FailureDomain &domain : layout.nodes) {
+        this->addNode(domain, 0.25, true);
+    }
+}
+
+void NodeWorld::addNode(const FailureDomain &domain, double coreShare, bool areEvacuationsKnown)
+{
+    const std::size_t index = this->nodes.size();
+    WorldNode &entry = this->nodes.emplace_back();
+    const std::string number = std::to_string(index);
+    entry.record = {InstanceName("i" + number), Incarnation(0), NetAddress("10.1.0." + number + ":1"), domain, coreShare, false};
+    this->startProcess(index, areEvacuationsKnown);
+}
+
+void NodeWorld::startProcess(std::size_t node, bool areEvacuationsKnown)
+{
+    WorldNode &entry = this->nodes[node];
+    entry.record.incarnation = Incarnation(++this->lastIncarnation);
+    entry.node = std::make_unique<Node>(
+        NodeOptions{entry.record, this->domains, LeaseTerms(), std::chrono::milliseconds(100), std::chrono::seconds(5)},
+        this->portsOf(node));
+    entry.handlers = entry.node->linkHandlers();
+    entry.node->connect(this->linksOf(node));
+    if (areEvacuationsKnown) {
+        entry.node->setEvacuations({});
+    }
+    std::vector<EndpointRecord> records;
+    for (const EndpointModel &endpoint : this->world.endpoints) {
+        records.push_back(endpoint.record);
+    }
+    entry.node->setEndpoints(records);
+}
+
 std::optional<std::size_t> NodeWorld::leader() const
 {
     for (std::size_t index = 0; index < this->nodes.size(); ++index) {
@@ -108,26 +152,94 @@
 
 void NodeWorld::kill(std::size_t node)
 {
-    this->nodes[node].isUp = false;
-    this->nodes[node].silentSince = this->world.now;
-    this->nodes[node].peers.clear();
+    WorldNode &killed = this->nodes[node];
+    killed.isUp = false;
+    killed.isSuspended = false;
+    ++killed.life;
+    killed.queuedEvents.clear();
+    killed.wantedPeers.clear();
+    for (std::size_t other = 0; other < this->nodes.size(); ++other) {
+        if (killed.links.contains(other)) {
+            this->closeLink(node, other);
+        }
+        if (this->nodes[other].links.contains(node) && this->canReach(node, other)) {
+            this->world.schedule(this->world.now + LinkDelay, [this, other, node] { this->loseAtOpener(other, node, true); });
+        }
+    }
+}
+
+void NodeWorld::cutPower(std::size_t node)
+{
+    WorldNode &silent = this->nodes[node];
+    silent.isUp = false;
+    silent.isSilent = true;
+    silent.isSuspended = false;
+    ++silent.life;
+    silent.queuedEvents.clear();
+    silent.wantedPeers.clear();
+    silent.peers.clear();
+    for (auto &[peer, link] : silent.links) {
+        link.isOpen = false;
+        link.heldRequests.clear();
+    }
+}
+
+void NodeWorld::restart(std::size_t node)
+{
+    WorldNode &entry = this->nodes[node];
+    for (auto &[peer, link] : entry.links) {
+        this->loseAtPeer(node, peer);
+    }
+    entry.links.clear();
+    entry.isUp = true;
+    entry.isSilent = false;
     for (std::size_t other = 0; other < this->nodes.size(); ++other) {
-        if (this->nodes[other].peers.erase(node) == 0) {
+        if (other != node) {
+            this->loseAtOpener(other, node, false);
+        }
+    }
+    this->startProcess(node, true);
+}
+
+void NodeWorld::resetLinks(std::size_t node)
+{
+    for (std::size_t other = 0; other < this->nodes.size(); ++other) {
+        if (other == node) {
             continue;
         }
-        this->world.schedule(this->world.now + LinkDelay, [this, other, node] {
-            this->deliver(other, [this, other, node] {
-                this->nodes[other].handlers.onLinkLost(this->nodes[node].record.name, true);
-                this->nodes[other].handlers.onInboundLinkLost(handleOf(node));
-            });
-        });
+        for (const auto &[opener, peer] : {std::pair(node, other), std::pair(other, node)}) {
+            if (this->nodes[opener].links.contains(peer) && this->nodes[opener].links.at(peer).isOpen) {
+                this->closeLink(opener, peer);
+                this->deliver(opener,
+                              [this, opener, peer] { this->nodes[opener].handlers.onLinkLost(this->nodes[peer].record.name, false); });
+            }
+        }
+    }
+}
+
+void NodeWorld::replaceEndpoint(std::size_t endpoint, const EndpointName &name)
+{
+    this->world.endpoints[endpoint].beginIncarnation(name);
+    this->world.endpoints[endpoint].isUp = true;
+    this->reportEndpoints();
+}
+
+void NodeWorld::reportEndpoints()
+{
+    std::vector<EndpointRecord> records;
+    for (const EndpointModel &endpoint : this->world.endpoints) {
+        if (endpoint.isUp) {
+            records.push_back(endpoint.record);
+        }
+    }
+    for (std::size_t node = 0; node < this->nodes.size(); ++node) {
+        this->deliver(node, [this, node, records] { this->nodes[node].node->setEndpoints(records); });
     }
 }
 
 void NodeWorld::suspend(std::size_t node)
 {
     this->nodes[node].isSuspended = true;
-    this->nodes[node].silentSince = this->world.now;
 }
 
 void NodeWorld::resume(std::size_t node)
@@ -151,133 +263,336 @@
     handler();
 }
 
-void NodeWorld::tick()
+bool NodeWorld::canReach(std::size_t from, std::size_t to) const
 {
-    for (std::size_t index = 0; index < this->nodes.size(); ++index) {
-        WorldNode &entry = this->nodes[index];
-        if (!entry.isUp || entry.isSuspended) {
-            continue;
-        }
-        for (std::size_t other = 0; other < this->nodes.size(); ++other) {
-            const WorldNode &peer = this->nodes[other];
-            if (peer.isSuspended && this->world.now - peer.silentSince > DeadLinkSilence && entry.peers.erase(other) > 0) {
-                entry.handlers.onLinkLost(peer.record.name, false);
-                entry.handlers.onInboundLinkLost(handleOf(other));
-                // The suspended node detects its closed connection when it resumes.
-                this->nodes[other].queuedEvents.push_back([this, index, other] {
-                    if (this->nodes[other].peers.erase(index) > 0) {
-                        this->nodes[other].handlers.onLinkLost(this->nodes[index].record.name, false);
-                    }
-                });
+    return !this->cutPaths.contains({from, to});
+}
+
+void NodeWorld::dial(std::size_t node, std::size_t peer)
+{
+    WorldLink &link = this->nodes[node].links[peer];
+    link.dialedAt = this->world.now;
+    const WorldNode &other = this->nodes[peer];
+    if (!this->canReach(node, peer) || !this->canReach(peer, node) || other.isSilent || other.isSuspended) {
+        return;
+    }
+    if (!other.isUp) {
+        this->world.schedule(this->world.now + 2 * LinkDelay, [this, node, peer, life = this->nodes[node].life] {
+            if (this->nodes[node].life == life) {
+                this->deliver(node, [this, node, peer] { this->nodes[node].handlers.onLinkLost(this->nodes[peer].record.name, true); });
+            }
+        });
+        return;
+    }
+    this->loseAtPeer(node, peer);
+    link.handle = (++this->lastConnection << IndexBits) | node;
+    link.isOpen = true;
+    link.isOpenAtPeer = true;
+    link.repliedAt = this->world.now;
+    link.requestedAt = this->world.now;
+    this->nodes[node].peers.insert(peer);
+    const std::string hello = Node::encodeHello(this->nodes[node].record);
+    this->transmit(node, peer, true, [this, peer, handle = link.handle, hello] { this->nodes[peer].handlers.onRequest(handle, hello); });
+    this->transmit(node, peer, false, [this, node, peer] { this->nodes[node].handlers.onLinkOpened(this->nodes[peer].record.name); });
+}
+
+void NodeWorld::closeLink(std::size_t node, std::size_t peer)
+{
+    WorldLink &link = this->nodes[node].links.at(peer);
+    link.isOpen = false;
+    link.heldRequests.clear();
+    link.heldReplies.clear();
+    this->nodes[node].peers.erase(peer);
+    if (link.isOpenAtPeer && this->canReach(node, peer)) {
+        this->world.schedule(this->world.now + LinkDelay, [this, node, peer, handle = link.handle] {
+            if (this->nodes[node].links.contains(peer) && this->nodes[node].links.at(peer).handle == handle) {
+                this->loseAtPeer(node, peer);
             }
+        });
+    }
+}
+
+void NodeWorld::loseAtOpener(std::size_t node, std::size_t peer, bool wasRefused)
+{
+    const auto link = this->nodes[node].links.find(peer);
+    if (link == this->nodes[node].links.end() || !link->second.isOpen) {
+        return;
+    }
+    link->second.isOpen = false;
+    link->second.isOpenAtPeer = false;
+    link->second.heldRequests.clear();
+    link->second.heldReplies.clear();
+    this->nodes[node].peers.erase(peer);
+    this->deliver(node,
+                  [this, node, peer, wasRefused] { this->nodes[node].handlers.onLinkLost(this->nodes[peer].record.name, wasRefused); });
+}
+
+void NodeWorld::loseAtPeer(std::size_t node, std::size_t peer)
+{
+    const auto link = this->nodes[node].links.find(peer);
+    if (link == this->nodes[node].links.end() || !std::exchange(link->second.isOpenAtPeer, false)) {
+        return;
+    }
+    this->deliver(peer, [this, peer, handle = link->second.handle] { this->nodes[peer].handlers.onInboundLinkLost(handle); });
+}
+
+void NodeWorld::transmit(std::size_t node, std::size_t peer, bool isRequest, std::function<void()> handler)
+{
+    WorldLink &link = this->nodes[node].links.at(peer);
+    const std::size_t receiver = isRequest ? peer : node;
+    auto delivery = [this, node, peer, receiver, isRequest, handle = link.handle, handler = std::move(handler)] {
+        const auto found = this->nodes[node].links.find(peer);
+        const bool isSame = found != this->nodes[node].links.end() && found->second.handle == handle;
+        if (isSame && (isRequest ? found->second.isOpenAtPeer : found->second.isOpen)) {
+            (isRequest ? found->second.requestedAt : found->second.repliedAt) = this->world.now;
+            this->deliver(receiver, handler);
+        }
+    };
+    auto &held = isRequest ? link.heldRequests : link.heldReplies;
+    const bool isCut = isRequest ? !this->canReach(node, peer) : !this->canReach(peer, node);
+    if (isCut || !held.empty()) {
+        held.push_back(std::move(delivery));
+        return;
+    }
+    this->world.schedule(this->world.now + LinkDelay, std::move(delivery));
+}
+
+void NodeWorld::advanceLinks()
+{
+    for (std::size_t node = 0; node < this->nodes.size(); ++node) {
+        std::vector<std::size_t> others;
+        for (const auto &[peer, link] : this->nodes[node].links) {
+            others.push_back(peer);
+        }
+        for (const std::size_t peer : others) {
+            this->advanceLink(node, peer);
+        }
+    }
+}
+
+void NodeWorld::advanceLink(std::size_t node, std::size_t peer)
+{
+    const TimePoint now = this->world.now;
+    WorldNode &opener = this->nodes[node];
+    WorldNode &other = this->nodes[peer];
+    WorldLink &link = opener.links.at(peer);
+    const bool isOpenerRunning = opener.isUp && !opener.isSuspended;
+    const bool isPeerRunning = other.isUp && !other.isSuspended;
+    if (this->canReach(node, peer)) {
+        for (auto &delivery : std::exchange(link.heldRequests, {})) {
+            this->world.schedule(now + LinkDelay, std::move(delivery));
+        }
+    }
+    if (this->canReach(peer, node)) {
+        for (auto &delivery : std::exchange(link.heldReplies, {})) {
+            this->world.schedule(now + LinkDelay, std::move(delivery));
+        }
+    }
+    // Pings and their answers are taken to go all the time.
+    if (link.isOpen && link.isOpenAtPeer && isOpenerRunning && isPeerRunning && this->canReach(node, peer)) {
+        link.requestedAt = now;
+        link.repliedAt = this->canReach(peer, node) ? now : link.repliedAt;
+    }
+    if (link.isOpen && isOpenerRunning && now - link.repliedAt > DeadLinkSilence) {
+        this->closeLink(node, peer);
+        opener.handlers.onLinkLost(other.record.name, false);
+    }
+    if (link.isOpenAtPeer && isPeerRunning && now - link.requestedAt > DeadLinkSilence) {
+        this->loseAtPeer(node, peer);
+        if (this->canReach(peer, node)) {
+            this->loseAtOpener(node, peer, false);
+        }
+    }
+    if (!link.isOpen && isOpenerRunning && opener.wantedPeers.contains(peer) && now - link.dialedAt >= RedialInterval) {
+        this->dial(node, peer);
+    }
+}
+
+void NodeWorld::tick()
+{
+    this->advanceLinks();
+    for (WorldNode &entry : this->nodes) {
+        if (entry.isUp && !entry.isSuspended) {
+            entry.node->tick();
         }
-        entry.node->tick();
     }
 }
 
 void NodeWorld::setPeers(std::size_t node, std::span<const InstanceRecord> records)
 {
+    std::set<std::size_t> &wanted = this->nodes[node].wantedPeers;
+    wanted.clear();
     for (const InstanceRecord &record : records) {
-        const auto peer = std::ranges::find_if(this->nodes, [&record](const WorldNode &entry) { return entry.record.name == record.name; });
-        const auto index = static_cast<std::size_t>(peer - this->nodes.begin());
-        if (!peer->isUp || peer->isSuspended || !this->nodes[node].peers.insert(index).second) {
-            continue;
+        wanted.insert(this->indexOf(record.name));
+    }
+    for (auto &[peer, link] : this->nodes[node].links) {
+        if (link.isOpen && !wanted.contains(peer)) {
+            this->closeLink(node, peer);
         }
-        const std::string hello = Node::encodeHello(this->nodes[node].record);
-        this->world.schedule(this->world.now + LinkDelay, [this, node, index, hello] {
-            this->deliver(index, [this, node, index, hello] { this->nodes[index].handlers.onRequest(handleOf(node), hello); });
-            this->deliver(node, [this, node, index] { this->nodes[node].handlers.onLinkOpened(this->nodes[index].record.name); });
-        });
     }
+    for (const std::size_t peer : wanted) {
+        if (!this->nodes[node].links.contains(peer)) {
+            this->dial(node, peer);
+        }
+    }
+}
+
+std::size_t NodeWorld::indexOf(const InstanceName &name) const
+{
+    const auto found = std::ranges::find_if(this->nodes, [&name](const WorldNode &entry) { return entry.record.name == name; });
+    return static_cast<std::size_t>(found - this->nodes.begin());
 }
 
 NodeLinks NodeWorld::linksOf(std::size_t node)
 {
-    const auto indexOf = [this](const InstanceName &name) {
-        const auto peer = std::ranges::find_if(this->nodes, [&name](const WorldNode &entry) { return entry.record.name == name; });
-        return static_cast<std::size_t>(peer - this->nodes.begin());
-    };
     NodeLinks links;
     links.setPeers = [this, node](std::span<const InstanceRecord> records) { this->setPeers(node, records); };
-    links.send = [this, node, indexOf](const InstanceName &name, const std::string &bytes) {
-        const std::size_t peer = indexOf(name);
+    links.send = [this, node](const InstanceName &name, const std::string &bytes) {
+        const std::size_t peer = this->indexOf(name);
         if (!this->nodes[node].peers.contains(peer)) {
             return false;
         }
+        this->onEvent(node, WorldEvent::Send);
         ++this->nodes[node].sentMessages;
-        this->world.schedule(this->world.now + LinkDelay, [this, node, peer, bytes] {
+        if (!this->nodes[node].peers.contains(peer)) {
+            return true;
+        }
+        this->transmit(node, peer, true, [this, peer, handle = this->nodes[node].links.at(peer).handle, bytes] {
             if (!this->nodes[peer].isReceivingBlocked) {
-                this->deliver(peer, [this, node, peer, bytes] { this->nodes[peer].handlers.onRequest(handleOf(node), bytes); });
+                this->nodes[peer].handlers.onRequest(handle, bytes);
             }
         });
         return true;
     };
-    links.reply = [this, node](LinkHandle link, const std::string &bytes) {
-        const std::size_t requester = link - 1;
-        this->world.schedule(this->world.now + LinkDelay, [this, node, requester, bytes] {
-            this->deliver(requester, [this, node, requester, bytes] {
-                this->nodes[requester].handlers.onReply(this->nodes[node].record.name, bytes);
-            });
-        });
+    links.reply = [this, node](LinkHandle handle, const std::string &bytes) {
+        const std::size_t requester = openerOf(handle);
+        const auto link = this->nodes[requester].links.find(node);
+        if (link == this->nodes[requester].links.end() || link->second.handle != handle || !link->second.isOpenAtPeer) {
+            return;
+        }
+        this->transmit(requester, node, false,
+                       [this, node, requester, bytes] { this->nodes[requester].handlers.onReply(this->nodes[node].record.name, bytes); });
     };
-    links.isLinked = [this, node, indexOf](const InstanceName &name) { return this->nodes[node].peers.contains(indexOf(name)); };
-    links.silence = [this, indexOf](const InstanceName &name) {
-        const WorldNode &peer = this->nodes[indexOf(name)];
-        return peer.isSuspended || !peer.isUp ? this->world.now - peer.silentSince : Duration{};
+    links.isLinked = [this, node](const InstanceName &name) { return this->nodes[node].peers.contains(this->indexOf(name)); };
+    links.silence = [this, node](const InstanceName &name) {
+        const auto link = this->nodes[node].links.find(this->indexOf(name));
+        const bool isKnown = link != this->nodes[node].links.end() && link->second.repliedAt != TimePoint();
+        return isKnown ? this->world.now - link->second.repliedAt : Duration::max();
     };
-    links.inboundSilence = [this](LinkHandle link) {
-        const WorldNode &peer = this->nodes[link - 1];
-        return peer.isSuspended || !peer.isUp ? this->world.now - peer.silentSince : Duration{};
+    links.inboundSilence = [this, node](LinkHandle handle) {
+        const auto link = this->nodes[openerOf(handle)].links.find(node);
+        const bool isKnown = link != this->nodes[openerOf(handle)].links.end() && link->second.handle == handle;
+        return isKnown ? this->world.now - link->second.requestedAt : Duration::max();
+    };
+    links.recordActivity = [this, node](const InstanceName &name) {
+        const auto link = this->nodes[node].links.find(this->indexOf(name));
+        if (link != this->nodes[node].links.end() && link->second.isOpen) {
+            link->second.repliedAt = this->world.now;
+        }
     };
-    links.recordActivity = [](const InstanceName &) {};
     links.tick = [] {};
     return links;
 }
 
-NodePorts NodeWorld::portsOf(std::size_t node)
+template<typename Result, typename Do, typename Handler>
+void NodeWorld::call(std::size_t node, CallOutcome outcome, Duration delay, Duration timeout, Do operation, Result refused, Handler handler)
 {
-    const auto respondAfter = [this, node](Duration delay, auto operation, auto handler) {
-        this->world.schedule(this->world.now + delay / 2, [this, node, delay, operation, handler] {
-            auto result = operation();
-            this->world.schedule(this->world.now + delay / 2,
-                                 [this, node, result, handler] { this->deliver(node, [result, handler] { handler(result); }); });
+    const auto answer = [this, node, life = this->nodes[node].life, handler](Result result) {
+        if (this->nodes[node].life == life) {
+            this->deliver(node, [handler, result] { handler(result); });
+        }
+    };
+    const TimePoint sentAt = this->world.now;
+    const Result unanswered{};
+    switch (outcome) {
+    case CallOutcome::Answered:
+        this->world.schedule(sentAt + delay / 2, [this, delay, operation, answer] {
+            const Result result = operation();
+            this->world.schedule(this->world.now + delay / 2, [answer, result] { answer(result); });
         });
+        return;
+    case CallOutcome::Refused:
+        this->world.schedule(sentAt + delay, [answer, refused] { answer(refused); });
+        return;
+    case CallOutcome::AnswerLost:
+        this->world.schedule(sentAt + delay / 2, [operation] { operation(); });
+        break;
+    case CallOutcome::ExecutedLate:
+        this->world.schedule(sentAt + std::chrono::milliseconds(2000 + drawBelow(this->world.random, 10000)), [operation] { operation(); });
+        break;
+    case CallOutcome::Lost:
+        break;
+    }
+    this->world.schedule(sentAt + timeout, [answer, unanswered] { answer(unanswered); });
+}
+
+NodePorts NodeWorld::portsOf(std::size_t node)
+{
+    const auto storeOutcomeOf = [this, node] { return this->nodes[node].isCutFromStore ? CallOutcome::Lost : this->storeOutcome(node); };
+    // An order reaches the endpoint that uses its address now; another incarnation says so.
+    const auto callEndpoint = [this, node](const auto &order, Duration delay, Duration timeout, CallOutcome outcome, auto operation,
+                                           auto otherIncarnation, auto refused, auto handler) {
+        const auto found = std::ranges::find(this->world.endpoints, order.address,
+                                             [](const EndpointModel &endpoint) { return endpoint.record.address; });
+        const auto index = static_cast<std::size_t>(found - this->world.endpoints.begin());
+        const auto reach = [this, node, index] { return this->world.endpoints[index].isUp && !this->cutEndpoints.contains({node, index}); };
+        CallOutcome result = outcome == CallOutcome::Answered ? this->orderOutcome(node, index) : outcome;
+        result = reach() ? result : CallOutcome::Lost;
+        this->call(
+            node, result, delay, timeout,
+            [this, order, index, operation, otherIncarnation] {
+                const bool isPresent = this->world.endpoints[index].record.name == order.endpoint;
+                return isPresent ? operation(order) : otherIncarnation;
+            },
+            refused, handler);
     };
     NodePorts ports;
     ports.now = [this] { return this->world.now; };
-    ports.commit = [this, respondAfter](const StoreTransaction &transaction, auto handler) {
-        respondAfter(
-            this->storeDelay, [this, transaction] { return this->world.store.apply(transaction); }, handler);
+    ports.commit = [this, node, storeOutcomeOf](const StoreTransaction &transaction, auto handler) {
+        this->onEvent(node, WorldEvent::LeadCommit);
+        TransactionResult refused;
+        refused.outcome = TransactionOutcome::NotApplied;
+        this->call(
+            node, storeOutcomeOf(), this->storeDelay, StoreTimeout, [this, transaction] { return this->world.store.apply(transaction); },
+            refused, handler);
     };
-    ports.read = [this, respondAfter](const RangeRead &range, auto handler) {
-        respondAfter(
-            this->storeDelay, [this, range] { return this->world.store.read(range); }, handler);
+    ports.read = [this, node, storeOutcomeOf](const RangeRead &range, auto handler) {
+        this->call(
+            node, storeOutcomeOf(), this->storeDelay, StoreTimeout, [this, range] { return this->world.store.read(range); }, ReadResult(),
+            handler);
     };
-    ports.startRun = [this, respondAfter](const StartRun &order, auto handler) {
-        respondAfter(
-            LinkDelay, [this, order] { return this->world.start(order); }, handler);
+    ports.startRun = [this, node, callEndpoint](const StartRun &order, auto handler) {
+        this->onEvent(node, WorldEvent::Start);
+        callEndpoint(
+            order, LinkDelay, OrderTimeout, CallOutcome::Answered, [this](const StartRun &start) { return this->world.start(start); },
+            StartResult{StartResult::Kind::OtherIncarnation, ""}, StartResult{StartResult::Kind::Unhealthy, ""}, handler);
     };
-    ports.stopRun = [this, respondAfter](const StopRun &order, auto handler) {
-        if (this->world.stopOutcome() != CallOutcome::Answered) {
-            respondAfter(
-                StopTimeout, [] { return StopResult::Unknown; }, handler);
-            return;
-        }
-        respondAfter(
-            LinkDelay, [this, order] { return this->world.stop(order); }, handler);
+    ports.stopRun = [this, node, callEndpoint](const StopRun &order, auto handler) {
+        this->onEvent(node, WorldEvent::Stop);
+        const CallOutcome outcome = this->world.stopOutcome() == CallOutcome::Answered ? CallOutcome::Answered : CallOutcome::Lost;
+        callEndpoint(
+            order, LinkDelay, outcome == CallOutcome::Answered ? OrderTimeout : LostStopTimeout, outcome,
+            [this](const StopRun &stop) { return StopAnswer{this->world.stop(stop)}; }, StopAnswer{StopResult::OtherIncarnation},
+            StopAnswer{}, [handler](const StopAnswer &answer) { handler(answer.result); });
+    };
+    ports.holdEndpoint = [this, node, callEndpoint](const HoldEndpoint &order, auto handler) {
+        this->onEvent(node, WorldEvent::Hold);
+        callEndpoint(
+            order, LinkDelay + order.maxDelay / 20, order.maxDelay + HoldMargin, CallOutcome::Answered,
+            [this](const HoldEndpoint &hold) { return this->world.hold(hold); }, holdRefusedAs(HoldResult::Kind::OtherIncarnation),
+            holdRefusedAs(HoldResult::Kind::Unhealthy), handler);
     };
-    ports.holdEndpoint = [this, respondAfter](const HoldEndpoint &order, auto handler) {
-        respondAfter(
-            LinkDelay + order.maxDelay / 20, [this, order] { return this->world.hold(order); }, handler);
+    ports.answerSubmission = [this, node](CallId call, const SubmitAnswer &answer) {
+        this->onEvent(node, WorldEvent::Answer);
+        this->nodes[node].submitAnswers[call] = answer;
     };
-    ports.answerSubmission = [this, node](CallId call, const SubmitAnswer &answer) { this->nodes[node].submitAnswers[call] = answer; };
     ports.answerJob = [this, node](CallId call, const JobAnswer &answer) { this->nodes[node].jobAnswers[call] = answer; };
     ports.reportNewerConfig = [] {};
     ports.reportOperatorTable = [this, node](RowVersion version) {
         RowVersion &newest = this->nodes[node].reportedTable;
         newest = std::max(newest, version);
     };
-    ports.log = [](const WriteLogLine &) {};
+    ports.log = [this, node](const WriteLogLine &line) { this->onLog(node, line); };
     return ports;
 }
 
