An instance that is cut off from all others takes no lead from one that they reach

Cause: an instance judged a leader of its domain by its own link only, also when all its links were silent; and a leader that the store names was judged by whether the link was open, not by whether anything was heard on it.

Why it works: an instance that hears none of several others that write their rows takes itself for the one that is cut off; the leader's row decides then. With a single other instance nothing tells which of the two is cut off, so that the link decides as before.

--- a/src/node/node.h
+++ b/src/node/node.h
@@ -228,6 +228,7 @@
     void advertise(TimePoint now);
     void applyAdvert(const InstanceName &from, const CellAdvert &advert);
     bool isMemberAlive(const Member &member) const;
+    bool isCutOffFromPeers() const; ///< @return Whether no instance is heard, although several write their rows.
     std::vector<LeadCandidate> leadCandidates() const;
 
     // node_peers.cpp: membership and messages of other instances.
--- a/src/node/node_leads.cpp
+++ b/src/node/node_leads.cpp
@@ -32,6 +32,7 @@
         return;
     }
     std::vector<LeadCandidate> candidates = this->leadCandidates();
+    const bool isCutOff = this->isCutOffFromPeers();
     for (auto &[cell, view] : this->cells) {
         const bool isInOwnDomain = this->options.self.domain == view.domain;
         const bool isLimitedToOneCell = !this->ledCells.empty() && now < this->startedAt + SingleClaimTime;
@@ -49,8 +50,8 @@
             lead.linkSilence = this->links.silence(lead.leader);
             const auto member = this->members.find(lead.leader);
             // A leader that the store names although its link is silent is cut off from this instance only.
-            const bool isCutOffHere = view.isKnownFromStore && !this->links.isLinked(lead.leader);
-            lead.isInDomain = !isCutOffHere && member != this->members.end() && member->second.record.domain == view.domain;
+            const bool isHiddenHere = view.isKnownFromStore && lead.linkSilence > this->limits.linkSilence;
+            lead.isInDomain = !isHiddenHere && !isCutOff && member != this->members.end() && member->second.record.domain == view.domain;
             lead.rowSilence = member == this->members.end() ? Duration::max() : this->membersReadAt - member->second.changedAt;
         }
         if (!isLeaderLost(lead, isInOwnDomain, this->limits)) {
@@ -206,6 +207,22 @@
     view.sentCpu = 0;
 }
 
+bool Node::isCutOffFromPeers() const
+{
+    constexpr std::size_t MinSilentPeers = 2; // A single silent link says as much about the other instance.
+    std::size_t silent = 0;
+    for (const auto &[name, member] : this->members) {
+        if (!this->isMemberAlive(member) || !this->needsLink(name, member)) {
+            continue;
+        }
+        if (this->links.silence(name) <= this->limits.linkSilence) {
+            return false;
+        }
+        ++silent;
+    }
+    return silent >= MinSilentPeers;
+}
+
 bool Node::isMemberAlive(const Member &member) const
 {
     return !member.isLeaving && this->membersReadAt - member.changedAt <= this->limits.rowSilence;
--- a/src/node/tests/node_world.cpp
+++ b/src/node/tests/node_world.cpp
@@ -10,7 +10,6 @@
 
 constexpr Duration LinkDelay = std::chrono::milliseconds(1);
 constexpr Duration RedialInterval = std::chrono::milliseconds(250); // As in PeerBus.
-constexpr Duration DeadLinkSilence = std::chrono::milliseconds(1200); // Four ping intervals of PeerBus.
 constexpr Duration StoreTimeout = std::chrono::milliseconds(400); // Of a call to the store that gets no answer.
 constexpr Duration OrderTimeout = std::chrono::milliseconds(150); // Of a start or stop that gets no answer.
 constexpr Duration LostStopTimeout = std::chrono::milliseconds(400); // Of a stop that CellWorld::stopOutcome loses.
@@ -396,11 +395,11 @@
         link.requestedAt = now;
         link.repliedAt = this->canReach(peer, node) ? now : link.repliedAt;
     }
-    if (link.isOpen && isOpenerRunning && now - link.repliedAt > DeadLinkSilence) {
+    if (link.isOpen && isOpenerRunning && now - link.repliedAt > this->deadLinkSilence) {
         this->closeLink(node, peer);
         opener.handlers.onLinkLost(other.record.name, false);
     }
-    if (link.isOpenAtPeer && isPeerRunning && now - link.requestedAt > DeadLinkSilence) {
+    if (link.isOpenAtPeer && isPeerRunning && now - link.requestedAt > this->deadLinkSilence) {
         this->loseAtPeer(node, peer);
         if (this->canReach(peer, node)) {
             this->loseAtOpener(node, peer, false);
--- a/src/node/tests/node_world.h
+++ b/src/node/tests/node_world.h
@@ -78,6 +78,7 @@
     CellWorld world; ///< Store, endpoints and clock.
     std::vector<WorldNode> nodes;
     const CellName cell{"cell"}; ///< Cell of the first domain.
+    Duration deadLinkSilence = std::chrono::milliseconds(1200); ///< After which a link counts as lost; four ping intervals of PeerBus.
     Duration storeDelay = std::chrono::milliseconds(5); ///< Time that a call to the store takes.
     std::set<std::pair<std::size_t, std::size_t>>
         cutPaths; ///< Pairs of nodes of which the first one's messages don't reach the second one.
--- a/src/node/tests/partition_test.cpp
+++ b/src/node/tests/partition_test.cpp
@@ -51,6 +51,38 @@
     BOOST_TEST(this->fleet.tokenOf(this->fleet.cell).value <= before + MaxClaims);
 }
 
+// Guards against an instance that is cut off from all others and takes the lead from one that they reach, so that nobody reaches the cell.
+BOOST_AUTO_TEST_CASE(InstanceThatIsCutOffFromAllOthersTakesNoLead)
+{
+    NodeWorld fleet(4, 4);
+    fleet.world.advanceTime(3s);
+    const std::size_t leader = *fleet.leader();
+    const std::size_t cutOff = (leader + 1) % 4;
+    for (std::size_t other = 0; other < fleet.nodes.size(); ++other) {
+        fleet.cutPaths.insert({cutOff, other});
+        fleet.cutPaths.insert({other, cutOff});
+    }
+    fleet.world.advanceTime(Cut);
+    BOOST_TEST(fleet.nodes[leader].node->leadsCells());
+    const JobId job("00000000000000a1");
+    const CallId call = fleet.submit((leader + 2) % 4, job, 1);
+    fleet.world.advanceTime(1s);
+    const auto &answers = fleet.nodes[(leader + 2) % 4].submitAnswers;
+    BOOST_TEST_REQUIRE(answers.contains(call));
+    BOOST_TEST((answers.at(call).verdict == SubmitVerdict::Ended));
+}
+
+// Guards against leads that are taken in turn although the links between the instances are still open, as with many peers.
+BOOST_FIXTURE_TEST_CASE(InstancesDontTakeTheLeadInTurnWhileTheirSilentLinksAreOpen, Partition)
+{
+    constexpr std::uint64_t MaxClaims = 2; // As above.
+    this->fleet.deadLinkSilence = 4s; // Of an instance with 100 peers.
+    const std::uint64_t before = this->fleet.tokenOf(this->fleet.cell).value;
+    this->cutOff(this->leader);
+    this->fleet.world.advanceTime(Cut);
+    BOOST_TEST(this->fleet.tokenOf(this->fleet.cell).value <= before + MaxClaims);
+}
+
 // Guards against a cell without a leader: the instance that the store names as such, and that this one doesn't reach, crashes.
 BOOST_FIXTURE_TEST_CASE(LeaderThatIsCutOffAndCrashesIsReplaced, Partition)
 {
