A start order's answer that a listing has overtaken gives up no run

Cause: a repeated start order that is answered 409 old was believed to mean "the run has ended, await its end" only in the phase Starting. When a hold had listed the run in between (phase Running), the leader dropped it and started its task once more before the end was listed. The class is an answer to an order that a listing has overtaken: refusals of an order that isn't known to be repeated also gave up a listed run.

Why the fix works: decideStart (start_answer) decides from the phase, whether another order was or may have been sent, whether the run is listed, and the answer. It gives a run up only if its sole order was refused and no listing has shown it, or its incarnation is over; otherwise the listed end, or a confirmed stop and a listing, decides.

Tests: CellWorld gets a start outcome and a start delay of its own, and the outcome Reset; the defaults are as before.

--- a/src/cells/cell_dispatch.cpp
+++ b/src/cells/cell_dispatch.cpp
@@ -1,6 +1,7 @@
 // The part of the leader that starts, renews, stops and reconciles runs on endpoints.
 #include "cells/cell_leader.h"
 #include "cells/placement.h"
+#include "cells/start_answer.h"
 
 #include <algorithm>
 #include <cassert>
@@ -56,20 +57,6 @@
     return names;
 }
 
-/** @return Whether a start order with this result certainly started no run. */
-bool hadNoEffect(StartResult::Kind kind)
-{
-    using Kind = StartResult::Kind;
-    // A superseded start means that another run of the task exists or existed on the endpoint.
-    return kind != Kind::Started && kind != Kind::Unknown && kind != Kind::Superseded;
-}
-
-/** @return Whether no order of this leader can be carried out any more, by this incarnation of the endpoint or by any. */
-bool endsOrders(StartResult::Kind kind)
-{
-    return kind == StartResult::Kind::Fenced || kind == StartResult::Kind::OtherIncarnation;
-}
-
 } // namespace
 
 bool CellLeader::canGiveOrders(TimePoint now) const
@@ -468,10 +455,10 @@
         return; // The end of the run was listed before this answer arrived.
     }
     RunRecord &run = found->second;
-    // A refusal of a repeated order says nothing about the first one, which may have been carried out or still be under way.
-    const StartResult::Kind kind
-        = run.isStartRepeated && hadNoEffect(result.kind) && !endsOrders(result.kind) ? StartResult::Kind::Unknown : result.kind;
-    if (const std::shared_ptr<CellJob> job = this->findJob(task.job); job && hadNoEffect(kind) && !run.isStartRepeated) {
+    // The leader that started an adopted run may have repeated the order.
+    const StartDecision decision = decideStart({run.phase, run.isStartRepeated || run.mayArriveLate, run.isListed, result.kind});
+    const std::shared_ptr<CellJob> job = this->findJob(task.job);
+    if (job && decision.isRefused) {
         ++job->refusedStarts;
     }
     if (result.kind != StartResult::Kind::Started) {
@@ -481,66 +468,80 @@
                                        {"endpoint", name.value},
                                        {"reason", result.detail}});
     }
-    switch (kind) {
-    case StartResult::Kind::Started:
-        if (run.phase == RunPhase::Starting) {
-            run.phase = RunPhase::Running;
-            run.confirmedAt = now;
-        }
-        if (const std::shared_ptr<CellJob> job = this->findJob(task.job); job && job->state == JobState::Queued) {
+    if (run.phase == RunPhase::Starting && decision.phase == RunPhase::Running) {
+        run.confirmedAt = now;
+    }
+    run.phase = decision.phase.value_or(run.phase);
+    switch (decision.reaction) {
+    case StartReaction::None:
+        return;
+    case StartReaction::RecordStart:
+        if (job && job->state == JobState::Queued) {
             job->state = JobState::Running;
         }
         return; // No capacity was freed, so nothing else can start.
-    case StartResult::Kind::NoCapacity:
-        endpoint->avoidUntil = now + AvoidAfterNoCapacity;
-        this->dropRun(now, *endpoint, task, "no-room");
-        break;
-    case StartResult::Kind::TooLate:
+    case StartReaction::AwaitListing:
         endpoint->nextHoldAt = now;
-        endpoint->avoidUntil = now + AvoidAfterNoCapacity;
-        this->dropRun(now, *endpoint, task, "too-late");
         break;
-    case StartResult::Kind::Superseded:
-        if (run.isStartRepeated && run.phase == RunPhase::Starting) {
-            // The first order was carried out and its run has ended; the next hold lists the end.
-            run.phase = RunPhase::Running;
-            run.confirmedAt = now;
-            endpoint->nextHoldAt = now;
-            break;
+    case StartReaction::Repeat:
+        if (this->repeatStart(now, task, *endpoint, run)) {
+            return;
         }
-        this->dropRun(now, *endpoint, task, "superseded");
+        this->giveUpStart(now, task, *endpoint, run);
         break;
-    case StartResult::Kind::Fenced:
-        this->endLead("an endpoint has seen a higher fencing token", false);
-        return;
-    case StartResult::Kind::Unhealthy:
-    case StartResult::Kind::Rejected:
-        endpoint->avoidUntil = now + AvoidAfterRefusal;
-        this->dropRun(now, *endpoint, task, "refused");
+    case StartReaction::Stop:
+        this->giveUpStart(now, task, *endpoint, run);
         break;
-    case StartResult::Kind::OtherIncarnation:
+    case StartReaction::Drop:
+        this->dropRefusedRun(now, *endpoint, task, result.kind);
+        break;
+    case StartReaction::DropAll:
         this->dropRun(now, *endpoint, task, "refused");
         this->dropRuns(now, *endpoint, "another incarnation answered");
         break;
-    case StartResult::Kind::NotSent:
-        this->recordNoAnswer(now, *endpoint);
-        this->dropRun(now, *endpoint, task, "not-sent");
-        break;
-    case StartResult::Kind::Unknown:
-        // Otherwise a hold has listed the run, or a stop is under way.
-        if (run.phase != RunPhase::Starting || this->repeatStart(now, task, *endpoint, run)) {
-            return;
-        }
-        this->recordNoAnswer(now, *endpoint);
-        run.phase = RunPhase::Unconfirmed;
-        run.mayArriveLate = true;
-        this->orderStop(now, *endpoint, task, run);
-        break;
+    case StartReaction::EndLead:
+        this->endLead("an endpoint has seen a higher fencing token", false);
+        return;
     }
     this->startReadyJobs(now);
     this->holdEndpoints(now);
 }
 
+void CellLeader::giveUpStart(TimePoint now, const TaskRef &task, CellEndpoint &endpoint, RunRecord &run)
+{
+    assert(run.phase == RunPhase::Starting || run.phase == RunPhase::Unconfirmed);
+    this->recordNoAnswer(now, endpoint);
+    run.phase = RunPhase::Unconfirmed;
+    run.mayArriveLate = true;
+    this->orderStop(now, endpoint, task, run);
+}
+
+void CellLeader::dropRefusedRun(TimePoint now, CellEndpoint &endpoint, const TaskRef &task, StartResult::Kind refusal)
+{
+    switch (refusal) {
+    case StartResult::Kind::NoCapacity:
+        endpoint.avoidUntil = now + AvoidAfterNoCapacity;
+        this->dropRun(now, endpoint, task, "no-room");
+        return;
+    case StartResult::Kind::TooLate:
+        endpoint.nextHoldAt = now;
+        endpoint.avoidUntil = now + AvoidAfterNoCapacity;
+        this->dropRun(now, endpoint, task, "too-late");
+        return;
+    case StartResult::Kind::NotSent:
+        this->recordNoAnswer(now, endpoint);
+        this->dropRun(now, endpoint, task, "not-sent");
+        return;
+    case StartResult::Kind::Superseded:
+        this->dropRun(now, endpoint, task, "superseded");
+        return;
+    default:
+        endpoint.avoidUntil = now + AvoidAfterRefusal;
+        this->dropRun(now, endpoint, task, "refused");
+        return;
+    }
+}
+
 void CellLeader::onStopped(TimePoint now, const EndpointName &name, const TaskRef &task, RunNumber number, StopResult result)
 {
     CellEndpoint *endpoint = this->findEndpoint(name);
--- a/src/cells/cell_leader.h
+++ b/src/cells/cell_leader.h
@@ -315,6 +315,8 @@
     std::uint64_t lastRunNumber(const CellJob &job) const; ///< @return Number that no run of a job by this leader exceeds.
     void orderStart(const CellJob &job, const TaskRef &task, const CellEndpoint &endpoint, const RunRecord &run);
     bool repeatStart(TimePoint now, const TaskRef &task, CellEndpoint &endpoint, RunRecord &run);
+    void giveUpStart(TimePoint now, const TaskRef &task, CellEndpoint &endpoint, RunRecord &run); ///< Stops a run that may exist.
+    void dropRefusedRun(TimePoint now, CellEndpoint &endpoint, const TaskRef &task, StartResult::Kind refusal);
     void addToReadyJobs(TimePoint now, CellJob &job); ///< Ranks a job anew; adds it to `readyJobs` if it has waiting tasks.
     void removeFromReadyJobs(CellJob &job);
     void refreshRanks(TimePoint now);
--- a/src/cells/tests/cell_world.cpp
+++ b/src/cells/tests/cell_world.cpp
@@ -222,6 +222,10 @@
         this->schedule(this->now + delay / 2, [operation] { operation(); });
         this->schedule(this->now + AnswerTimeout, [deliverResult, unknown] { deliverResult(unknown); });
         return;
+    case CallOutcome::Reset:
+        this->schedule(this->now + delay / 2, [operation] { operation(); });
+        this->schedule(this->now + delay, [deliverResult, unknown] { deliverResult(unknown); });
+        return;
     case CallOutcome::ExecutedLate:
         this->schedule(this->now + milliseconds(1000 + static_cast<std::int64_t>(drawBelow(this->random, 5000))),
                        [operation] { operation(); });
@@ -269,7 +273,7 @@
             CellContent(), [this, leader](const CellContent &content) { leader().onRecovered(this->now, content); });
     } else if (auto *start = std::get_if<StartRun>(&action)) {
         const bool isReachable = this->find(start->endpoint)->isReachable;
-        this->call(index, isReachable ? this->orderOutcome() : CallOutcome::Lost, OrderDelay,
+        this->call(index, isReachable ? this->startOutcome() : CallOutcome::Lost, this->startDelay(),
                    this->toIncarnation(*start, [this](const StartRun &order) { return this->start(order); }),
                    StartResult{StartResult::Kind::Unhealthy, ""}, StartResult(), [this, leader, order = *start](const StartResult &result) {
                        leader().onStarted(this->now, order.endpoint, order.task, order.run, result);
--- a/src/cells/tests/cell_world.h
+++ b/src/cells/tests/cell_world.h
@@ -16,6 +16,7 @@
 enum class CallOutcome : std::uint8_t {
     Answered, ///< The call is executed and answered.
     AnswerLost, ///< The call is executed; the answer is lost.
+    Reset, ///< The call is executed; its connection is reset at once, so that the caller needn't wait for its timeout.
     ExecutedLate, ///< The call gets no answer and is executed 1 to 6 s later.
     Refused, ///< The call is refused without effect.
     Lost, ///< The call is lost.
@@ -48,6 +49,9 @@
     std::vector<std::string> violations; ///< Descriptions of violated invariants.
     std::function<CallOutcome()> storeOutcome = [] { return CallOutcome::Answered; }; ///< Outcome of the next transaction or read.
     std::function<CallOutcome()> orderOutcome = [] { return CallOutcome::Answered; }; ///< Outcome of the next order to an endpoint.
+    std::function<CallOutcome()> startOutcome = [this] { return this->orderOutcome(); }; ///< Outcome of the next start order.
+    std::function<Duration()> startDelay
+        = [] { return std::chrono::milliseconds(1); }; ///< Time from sending the next start order to its answer; it is executed halfway.
     std::function<CallOutcome()> stopOutcome = [this] { return this->orderOutcome(); }; ///< Outcome of the next stop order.
     std::function<RunOutcome()> runOutcome = [] { return RunOutcome::Done; }; ///< Outcome of the next run.
     Duration workTime = std::chrono::milliseconds(60); ///< Estimate of submitted tasks, and run time of each run that starts.
