Node world: a call whose connection is reset

It does now what it does in CellWorld: the call is executed, and its caller learns at once that it gets no answer. No existing test uses it.

--- a/src/node/tests/node_world.cpp
+++ b/src/node/tests/node_world.cpp
@@ -520,6 +520,10 @@
     case CallOutcome::AnswerLost:
         this->world.schedule(sentAt + delay / 2, [operation] { operation(); });
         break;
+    case CallOutcome::Reset:
+        this->world.schedule(sentAt + delay / 2, [operation] { operation(); });
+        this->world.schedule(sentAt + delay, [answer, unanswered] { answer(unanswered); });
+        return;
     case CallOutcome::ExecutedLate:
         this->world.schedule(sentAt + std::chrono::milliseconds(2000 + drawBelow(this->world.random, 10000)), [operation] { operation(); });
         break;
