The row of a crashed endpoint is no evidence against the one that followed it

Cause: any row of another name at the address of a lost endpoint confirmed the loss as a crash, also the row of the incarnation that had crashed there before. The registry keeps that row until it expires, longer in an outage of the store. A sound endpoint that fell silent was so taken for replaced at the next reading of the registry.

Evidence: EndpointThatIsSilentBesideTheRowOfItsPredecessorDidNotCrash and PredecessorsOfALostEndpointAreKnownToTheNextLeader (two changes of leader) failed before and pass now. Beside them, CrashesBesideTheRowsOfPredecessorsAreEvidence: two crashes, then given up, before as now.

Why it works: a loss names the endpoints at its address that the leader knew before the lost one or saw together with it, and their rows confirm nothing. The list is stored with the loss and handed on with its job; rows of earlier versions have none. An endpoint that has been replaced still says so itself (421).

StoredLossesAreReadAsWritten checks the list as well; nothing else of existing checks has changed. cells_test, all cases: no errors.

--- a/src/cells/cell_isolation.cpp
+++ b/src/cells/cell_isolation.cpp
@@ -49,6 +49,19 @@
     return tasks;
 }
 
+std::vector<EndpointName> CellLeader::predecessorsOf(const CellEndpoint &endpoint) const
+{
+    std::vector<EndpointName> names;
+    for (const auto &[name, other] : this->endpoints) {
+        // Of registrations that were first seen together, either may be the older one; a call to the endpoint tells.
+        const bool mayBeOlder = other->registeredAt <= endpoint.registeredAt;
+        if (name != endpoint.record.name && other->record.address == endpoint.record.address && mayBeOlder) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
 void CellLeader::recordLoss(TimePoint now, CellEndpoint &endpoint, bool isReplaced)
 {
     std::vector<LostTask> tasks = this->unfinishedTasksOn(endpoint, isReplaced);
@@ -73,7 +86,8 @@
                                   {"alone", isAlone ? "yes" : "no"},
                                   {"crash", isReplaced ? "confirmed" : "unconfirmed"}});
     const LossState state = isReplaced ? LossState::Crashed : LossState::Unconfirmed;
-    this->crashes.recordLoss({endpoint.record.name, endpoint.record.address, endpoint.born, state, isAlone, std::move(tasks), now});
+    this->crashes.recordLoss({endpoint.record.name, endpoint.record.address, endpoint.born, state, isAlone, std::move(tasks), now,
+                              this->predecessorsOf(endpoint)});
     this->isCrashRowUrgent = true;
 }
 
--- a/src/cells/cell_leader.h
+++ b/src/cells/cell_leader.h
@@ -266,6 +266,7 @@
     // cell_isolation.cpp: tasks under which endpoints were lost.
     std::size_t countLossesAround(TimePoint time) const;
     std::vector<LostTask> unfinishedTasksOn(const CellEndpoint &endpoint, bool isReplaced) const;
+    std::vector<EndpointName> predecessorsOf(const CellEndpoint &endpoint) const;
     void recordLoss(TimePoint now, CellEndpoint &endpoint, bool isReplaced); ///< @param isReplaced Whether another incarnation was seen.
     void isolateSuspects(TimePoint now, CellJob &job);
     std::size_t isolationRoom() const; ///< Number of endpoints that further isolated tasks may take.
--- a/src/cells/crash_history.cpp
+++ b/src/cells/crash_history.cpp
@@ -30,7 +30,7 @@
     if (record.name == loss.endpoint) {
         return record.born && loss.born && *record.born > *loss.born;
     }
-    return record.address == loss.address;
+    return record.address == loss.address && std::ranges::find(loss.predecessors, record.name) == loss.predecessors.end();
 }
 
 } // namespace
--- a/src/cells/crash_history.h
+++ b/src/cells/crash_history.h
@@ -41,6 +41,7 @@
     bool wasAlone = false; ///< Whether a single task ran on the endpoint.
     std::vector<LostTask> tasks; ///< Tasks that lost a run and have not succeeded since.
     TimePoint at; ///< When the loss was noticed, on this process's clock.
+    std::vector<EndpointName> predecessors; ///< Endpoints at the address that may be older than the lost one, and so don't replace it.
 };
 
 /** What follows for a task from the endpoints that were lost under it. */
@@ -61,7 +62,11 @@
     /** Records a loss; the oldest one is forgotten if there are too many. @pre `loss.tasks` is not empty. */
     void recordLoss(EndpointLoss loss);
 
-    /** Confirms the losses of endpoints that the registry shows as replaced. @return Whether a loss was confirmed. */
+    /**
+     * Confirms the losses of endpoints that the registry shows as replaced. Rows of their predecessors confirm nothing; the registry shows
+     * a crashed endpoint until its row expires.
+     * @return Whether a loss was confirmed.
+     */
     bool onRegistry(std::span<const EndpointRecord> records);
 
     /** Confirms the losses of an endpoint at whose address another incarnation answered. @return Whether a loss was confirmed. */
--- a/src/cells/job_cbor.cpp
+++ b/src/cells/job_cbor.cpp
@@ -253,8 +253,12 @@
         for (const LostTask &lost : loss.tasks) {
             tasks.push_back({lost.task.job.value, lost.task.step, lost.task.index, lost.wasRunning});
         }
+        Json predecessors = Json::array();
+        for (const EndpointName &name : loss.predecessors) {
+            predecessors.push_back(name.value);
+        }
         rows.push_back({loss.endpoint.value, loss.address.value, loss.born ? Json(*loss.born) : Json(), loss.state == LossState::Crashed,
-                        loss.wasAlone, std::move(tasks)});
+                        loss.wasAlone, std::move(tasks), std::move(predecessors)});
     }
     return rows;
 }
@@ -274,6 +278,10 @@
                               integerFromJson<std::uint32_t>(task.at(2), "task")};
             loss.tasks.push_back({ref, task.at(3).get<bool>()});
         }
+        // Rows of earlier versions don't name predecessors.
+        for (const Json &name : row.size() > 6 ? row.at(6) : Json::array()) {
+            loss.predecessors.emplace_back(name.get<std::string>());
+        }
         if (!loss.tasks.empty()) {
             losses.push_back(std::move(loss));
         }
--- a/src/cells/tests/crash_history_test.cpp
+++ b/src/cells/tests/crash_history_test.cpp
@@ -169,6 +169,18 @@
     BOOST_TEST(this->hasVerdict(Task, CrashVerdict::RunAlone));
 }
 
+// Guards against a sound endpoint that is taken for crashed because the registry still shows the one before it at its address.
+BOOST_AUTO_TEST_CASE(RowOfAPredecessorConfirmsNoCrash)
+{
+    EndpointLoss loss = lossOf(1, {Task});
+    EndpointRecord predecessor = replacementOf(loss);
+    predecessor.name = EndpointName("e1-before");
+    loss.predecessors = {predecessor.name};
+    this->history.recordLoss(loss);
+    BOOST_TEST(!this->history.onRegistry(std::vector<EndpointRecord>{predecessor}));
+    BOOST_TEST(this->history.onRegistry(std::vector<EndpointRecord>{predecessor, replacementOf(loss)}));
+}
+
 BOOST_AUTO_TEST_CASE(TaskIsGivenUpAfterFiveLossesWithoutEvidence)
 {
     for (int number = 1; number <= 4; ++number) {
@@ -215,6 +227,7 @@
     EndpointLoss reborn = lossOf(2, {Task});
     reborn.born = 1234567890123;
     reborn.state = LossState::Crashed;
+    reborn.predecessors = {EndpointName("e2-before"), EndpointName("e2-first")};
     const std::vector<EndpointLoss> losses{lossOf(1, {Task, Neighbour}, false), reborn};
     const auto read = decodeLosses(encodeLosses(losses));
     BOOST_TEST_REQUIRE(!read.has_error());
@@ -225,6 +238,8 @@
     BOOST_TEST((read.value()[1].born == reborn.born));
     BOOST_TEST((read.value()[1].state == LossState::Crashed));
     BOOST_TEST(read.value()[1].wasAlone);
+    BOOST_TEST(read.value()[0].predecessors.empty());
+    BOOST_TEST((read.value()[1].predecessors == reborn.predecessors));
     BOOST_TEST(decodeLosses("no losses").has_error());
 }
 
--- a/src/cells/tests/deadly_test.cpp
+++ b/src/cells/tests/deadly_test.cpp
@@ -29,6 +29,7 @@
     std::set<TaskRef> deadly; ///< Tasks that crash their endpoints.
     std::size_t crashes = 0; ///< Number of crashes so far.
     std::size_t leader = 0; ///< The leader that hears of new incarnations.
+    bool areRowsKept = false; ///< Whether the registry still shows crashed incarnations, as it does until their rows expire.
 
     DeadlyCell()
     {
@@ -59,10 +60,47 @@
         next.beginIncarnation(EndpointName("r" + std::to_string(this->crashes)));
         this->world.schedule(this->world.now + Downtime, [this, next] {
             this->world.endpoints.push_back(next);
-            this->world.registerEndpoints(this->leader);
+            this->registerEndpoints();
         });
     }
 
+    /** Passes the rows of the registry to the leader. */
+    void registerEndpoints()
+    {
+        if (!this->areRowsKept) {
+            this->world.registerEndpoints(this->leader);
+            return;
+        }
+        std::vector<EndpointRecord> records;
+        std::ranges::transform(this->world.endpoints, std::back_inserter(records), &EndpointModel::record);
+        this->world.leaders[this->leader].leader->setEndpoints(this->world.now, records);
+    }
+
+    /** Crashes the endpoint that runs a task, once it does. @return Whether one did within a while. */
+    bool crashEndpointOf(const TaskRef &task)
+    {
+        const auto runsTask = [&task](const EndpointModel &endpoint) { return endpoint.runsTask(task); };
+        if (!this->world.advanceUntil([&] { return std::ranges::any_of(this->world.endpoints, runsTask); }, 15s)) {
+            return false;
+        }
+        const auto found = std::ranges::find_if(this->world.endpoints, runsTask);
+        this->crash(static_cast<std::size_t>(found - this->world.endpoints.begin()));
+        return true;
+    }
+
+    /** Cuts off the endpoint that runs a task, once it does. @return Whether one did within a while. */
+    bool cutEndpointOf(const TaskRef &task, Duration length)
+    {
+        const auto runsTask = [&task](const EndpointModel &endpoint) { return endpoint.isReachable && endpoint.runsTask(task); };
+        if (!this->world.advanceUntil([&] { return std::ranges::any_of(this->world.endpoints, runsTask); }, 15s)) {
+            return false;
+        }
+        EndpointModel &endpoint = *std::ranges::find_if(this->world.endpoints, runsTask);
+        endpoint.isReachable = false;
+        this->world.schedule(this->world.now + length, [&endpoint] { endpoint.isReachable = true; });
+        return true;
+    }
+
     bool reaches(const JobId &job, JobState state, Duration limit)
     {
         return this->world.advanceUntil([&] { return this->world.shows(this->leader, job, state); }, limit);
@@ -223,6 +261,52 @@
     BOOST_TEST(this->world.violations.empty());
 }
 
+// Guards against a job that is given up as its endpoint is cut off while the registry still shows the one that crashed there before.
+BOOST_FIXTURE_TEST_CASE(EndpointThatIsSilentBesideTheRowOfItsPredecessorDidNotCrash, DeadlyCell<1>)
+{
+    this->areRowsKept = true;
+    this->world.workTime = 2s;
+    this->world.submit(this->leader, DeadlyJob, 1);
+    BOOST_TEST(this->crashEndpointOf(DeadlyTask));
+    BOOST_TEST(this->cutEndpointOf(DeadlyTask, 4s));
+    this->world.advanceTime(1500ms); // The loss is noticed.
+    this->registerEndpoints();
+    BOOST_TEST(this->reaches(DeadlyJob, JobState::Done, 20s));
+    BOOST_TEST(this->world.violations.empty());
+}
+
+// Guards against a deadly task that goes on because the registry still shows the incarnations that it has crashed.
+BOOST_FIXTURE_TEST_CASE(CrashesBesideTheRowsOfPredecessorsAreEvidence, DeadlyCell<1>)
+{
+    this->areRowsKept = true;
+    this->deadly = {DeadlyTask};
+    this->world.submit(this->leader, DeadlyJob, 1);
+    BOOST_TEST(this->reaches(DeadlyJob, JobState::Failed, 20s));
+    BOOST_TEST(this->crashes == 2U);
+    BOOST_TEST(this->world.violations.empty());
+}
+
+// Guards against evidence that the next leader takes from the row of an endpoint that had crashed before the lost one started.
+BOOST_FIXTURE_TEST_CASE(PredecessorsOfALostEndpointAreKnownToTheNextLeader, DeadlyCell<1>)
+{
+    this->areRowsKept = true;
+    this->world.workTime = 2s;
+    this->world.submit(this->leader, DeadlyJob, 1);
+    BOOST_TEST(this->crashEndpointOf(DeadlyTask));
+    BOOST_TEST(this->cutEndpointOf(DeadlyTask, 8s));
+    this->world.advanceTime(2s); // The loss is noticed and stored.
+    for (int changes = 0; changes < 2; ++changes) {
+        this->replaceLeader();
+        const std::size_t known = this->world.transactionCount;
+        this->world.advanceUntil([&] { return this->world.transactionCount > known; }, 2s);
+        this->world.advanceTime(200ms); // The next leader has read the losses.
+        this->registerEndpoints();
+        this->world.advanceTime(500ms);
+    }
+    BOOST_TEST(this->reaches(DeadlyJob, JobState::Done, 30s));
+    BOOST_TEST(this->world.violations.empty());
+}
+
 // Guards against tasks that are isolated because their endpoints went down together, as when a rack loses power.
 BOOST_FIXTURE_TEST_CASE(TasksOfEndpointsThatAreLostTogetherAreRepeatedSideBySide, LargeCell)
 {
