A crash under a run whose start had to be repeated is no proof against its task

Cause: the start of a run on an endpoint that leaves calls unanswered was repeated, and the answer to the repetition made it a confirmed run. The run ended, its end was not listed as the holds got no answer either, and the endpoint crashed 0.1 s later: the second crash "under" the task.

Evidence: CrashAfterARunWhoseStartWasRepeatedIsNoProof failed before and passes now. Its counterpart DeadlyTaskIsGivenUpWhileAnswersAreLost, three crashes at most, passes before and after.

Why it works: such a run counts like one that was never confirmed, unless the endpoint has listed it: three crashes, two of them alone. Without repeated starts nothing changes; a deadly task is given up after two crashes as before.

No existing check has changed. cells_test, all cases: no errors.

--- a/src/cells/cell_isolation.cpp
+++ b/src/cells/cell_isolation.cpp
@@ -39,7 +39,9 @@
 {
     std::vector<LostTask> tasks;
     for (const auto &[task, run] : endpoint.runs) {
-        const bool isConfirmed = run.phase == RunPhase::Running || run.phase == RunPhase::Stopping || run.isListed;
+        // An endpoint that left the first order unanswered may leave the end unlisted as well, and crash when the run is over.
+        const bool wasAnswered = (run.phase == RunPhase::Running || run.phase == RunPhase::Stopping) && !run.isStartRepeated;
+        const bool isConfirmed = wasAnswered || run.isListed;
         const std::shared_ptr<CellJob> job = this->findJob(task.job);
         // The order of a run that wasn't confirmed may have met the incarnation that replaced the crashed one.
         if (job && job->hasTask(task) && !isFinal(job->state) && (isConfirmed || !isReplaced)) {
--- a/src/cells/tests/deadly_test.cpp
+++ b/src/cells/tests/deadly_test.cpp
@@ -307,6 +307,39 @@
     BOOST_TEST(this->world.violations.empty());
 }
 
+// Guards against a job that is given up as its endpoint crashes after the run has ended there, while its answers are lost.
+BOOST_FIXTURE_TEST_CASE(CrashAfterARunWhoseStartWasRepeatedIsNoProof, DeadlyCell<1>)
+{
+    this->world.workTime = 100ms;
+    this->world.submit(this->leader, DeadlyJob, 1);
+    BOOST_TEST(this->crashEndpointOf(DeadlyTask));
+    this->world.advanceUntil([this] { return this->world.endpoints.size() == 2U; }, 5s);
+    // The orders are: start, hold, repeated start, and holds until the crash. Only the repeated start is answered.
+    std::size_t orders = 0;
+    this->world.orderOutcome = [&orders] {
+        ++orders;
+        return orders == 1U ? CallOutcome::AnswerLost : (orders == 3U ? CallOutcome::Answered : CallOutcome::Lost);
+    };
+    this->world.advanceTime(500ms);
+    BOOST_TEST(this->world.startsOf(DeadlyTask) == 2U);
+    BOOST_TEST(!this->world.endpoints.back().runsTask(DeadlyTask)); // The run has ended.
+    this->crash(1);
+    this->world.orderOutcome = [] { return CallOutcome::Answered; };
+    BOOST_TEST(this->reaches(DeadlyJob, JobState::Done, 20s));
+    BOOST_TEST(this->world.violations.empty());
+}
+
+// Guards against a deadly task that goes on because its starts have to be repeated.
+BOOST_FIXTURE_TEST_CASE(DeadlyTaskIsGivenUpWhileAnswersAreLost, LargeCell)
+{
+    this->deadly = {DeadlyTask};
+    this->world.orderOutcome = [this] { return drawBelow(this->world.random, 2) == 0 ? CallOutcome::AnswerLost : CallOutcome::Answered; };
+    this->world.submit(this->leader, DeadlyJob, 1);
+    BOOST_TEST(this->reaches(DeadlyJob, JobState::Failed, 40s));
+    BOOST_TEST(this->crashes <= 3U);
+    BOOST_TEST(this->world.violations.empty());
+}
+
 // Guards against tasks that are isolated because their endpoints went down together, as when a rack loses power.
 BOOST_FIXTURE_TEST_CASE(TasksOfEndpointsThatAreLostTogetherAreRepeatedSideBySide, LargeCell)
 {
