--- a/src/cells/cell_isolation.cpp
+++ b/src/cells/cell_isolation.cpp
@@ -39,7 +39,9 @@
 {
     std::vector<LostTask> tasks;
     for (const auto &[task, run] : endpoint.runs) {
-        const bool isConfirmed = run.phase == RunPhase::Running || run.phase == RunPhase::Stopping || run.isListed;
+        // An endpoint that left the first order unanswered may leave the end unlisted as well, and crash when the run is over.
+        const bool wasAnswered = (run.phase == RunPhase::Running || run.phase == RunPhase::Stopping) && !run.isStartRepeated;
+        const bool isConfirmed = wasAnswered || run.isListed;
         const std::shared_ptr<CellJob> job = this->findJob(task.job);
         // The order of a run that wasn't confirmed may have met the incarnation that replaced the crashed one.
         if (job && job->hasTask(task) && !isFinal(job->state) && (isConfirmed || !isReplaced)) {
@@ -49,6 +51,19 @@
     return tasks;
 }
 
+std::vector<EndpointName> CellLeader::predecessorsOf(const CellEndpoint &endpoint) const
+{
+    std::vector<EndpointName> names;
+    for (const auto &[name, other] : this->endpoints) {
+        // Of registrations that were first seen together, either may be the older one; a call to the endpoint tells.
+        const bool mayBeOlder = other->registeredAt <= endpoint.registeredAt;
+        if (name != endpoint.record.name && other->record.address == endpoint.record.address && mayBeOlder) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
 void CellLeader::recordLoss(TimePoint now, CellEndpoint &endpoint, bool isReplaced)
 {
     std::vector<LostTask> tasks = this->unfinishedTasksOn(endpoint, isReplaced);
@@ -73,7 +88,8 @@
                                   {"alone", isAlone ? "yes" : "no"},
                                   {"crash", isReplaced ? "confirmed" : "unconfirmed"}});
     const LossState state = isReplaced ? LossState::Crashed : LossState::Unconfirmed;
-    this->crashes.recordLoss({endpoint.record.name, endpoint.record.address, endpoint.born, state, isAlone, std::move(tasks), now});
+    this->crashes.recordLoss({endpoint.record.name, endpoint.record.address, endpoint.born, state, isAlone, std::move(tasks), now,
+                              this->predecessorsOf(endpoint)});
     this->isCrashRowUrgent = true;
 }
 
