Processes of tests inherit no sockets, and the ports of a test program stay its own

Test code only.

Cause: instances were started with all sockets of the test program, among them the one with which another thread tried a port just then; the port stayed bound until that instance ended. A connection that a proxy reset stayed open as well while an instance held a copy. Besides, programs whose process ids differ by a multiple of 120 drew the same ports, and a port that an instance left for a restart was anyone's.

Why it works: the child closes all files above standard error before it runs the program, which leaves no moment between opening and marking a socket. Blocks of 100 ports belong to the reservation that holds the UDP socket at their first port.

--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -43,6 +43,8 @@
     posix_spawn_file_actions_addopen(&files, STDIN_FILENO, "/dev/null", O_RDONLY, 0);
     posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, command.output.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
+    // An inherited socket would keep its port and its connections open after this process has closed them.
+    posix_spawn_file_actions_addclosefrom_np(&files, STDERR_FILENO + 1);
     pid_t pid = -1;
     const int error = posix_spawn(&pid, arguments[0], &files, nullptr, arguments.data(), environment.data());
     posix_spawn_file_actions_destroy(&files);
--- a/tests/process/child_process.h
+++ b/tests/process/child_process.h
@@ -26,7 +26,7 @@
 {
 public:
     /**
-     * Start a process.
+     * Start a process. It inherits no file or socket of this process but the output file.
      * @param command What to start.
      * Throws std::runtime_error if it can't be started.
      */
--- a/tests/process/process_tools.cpp
+++ b/tests/process/process_tools.cpp
@@ -1,11 +1,9 @@
 #include "process_tools.h"
 
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
 #include <unistd.h>
 
-#include <atomic>
 #include <iostream>
 #include <stdexcept>
 #include <thread>
@@ -17,9 +15,19 @@
 constexpr auto PollInterval = std::chrono::milliseconds(10);
 // Below the range from which the system gives ports to outgoing connections.
 constexpr std::uint32_t FirstPort = 20'000;
-constexpr std::uint32_t PortCount = 12'000;
+constexpr std::uint32_t BlockCount = 120;
+constexpr std::uint32_t PortsPerBlock = 100;
+constexpr std::size_t MaxBlocks = 20; // In one reservation, so that a long run leaves ports for other programs.
 constexpr std::size_t UniqueLetters = 6; ///< That mkdtemp() replaces.
-constexpr std::uint32_t PortsPerProcess = 100; ///< Keeps processes that run at once apart.
+
+bool isFree(std::uint16_t port)
+{
+    boost::asio::io_context io;
+    boost::asio::ip::tcp::acceptor acceptor(io, boost::asio::ip::tcp::v4());
+    boost::system::error_code error;
+    acceptor.bind({boost::asio::ip::address_v4::loopback(), port}, error);
+    return !error;
+}
 
 } // namespace
 
@@ -53,19 +61,49 @@
     return this->path;
 }
 
-std::uint16_t freePort()
+std::uint16_t PortReservation::drawPort()
+{
+    const std::lock_guard lock(this->mutex);
+    for (std::size_t attempt = 0; attempt < MaxBlocks * PortsPerBlock; ++attempt) {
+        if (this->drawn == this->blocks.size() * PortsPerBlock && !this->reserveBlock()) {
+            this->drawn = 0;
+        }
+        if (this->blocks.empty()) {
+            break;
+        }
+        const auto port = static_cast<std::uint16_t>(this->blocks[this->drawn / PortsPerBlock].first + this->drawn % PortsPerBlock);
+        ++this->drawn;
+        if (isFree(port)) {
+            return port;
+        }
+    }
+    throw std::runtime_error("no free port");
+}
+
+bool PortReservation::reserveBlock()
 {
-    static std::atomic<std::uint32_t> next = static_cast<std::uint32_t>(getpid()) * PortsPerProcess;
-    for (;;) {
-        const auto port = static_cast<std::uint16_t>(FirstPort + next++ % PortCount);
-        boost::asio::io_context io;
-        boost::asio::ip::tcp::acceptor acceptor(io, boost::asio::ip::tcp::v4());
+    using Udp = boost::asio::ip::udp;
+    if (this->blocks.size() == MaxBlocks) {
+        return false;
+    }
+    for (std::uint32_t number = 0; number < BlockCount; ++number) {
+        const std::uint32_t block = (static_cast<std::uint32_t>(getpid()) + number) % BlockCount;
+        const auto first = static_cast<std::uint16_t>(FirstPort + block * PortsPerBlock);
+        Udp::socket lock(this->io, Udp::v4());
         boost::system::error_code error;
-        acceptor.bind({boost::asio::ip::address_v4::loopback(), port}, error);
+        lock.bind({boost::asio::ip::address_v4::loopback(), first}, error);
         if (!error) {
-            return port;
+            this->blocks.push_back({first, std::move(lock)});
+            return true;
         }
     }
+    return false;
+}
+
+std::uint16_t freePort()
+{
+    static PortReservation reservation;
+    return reservation.drawPort();
 }
 
 bool waitUntil(const std::function<bool()> &condition, std::chrono::milliseconds timeout)
--- a/tests/process/process_tools.h
+++ b/tests/process/process_tools.h
@@ -1,11 +1,16 @@
 /** What tests of processes share: a folder for their files, free ports, and waiting. */
 #pragma once
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+
 #include <chrono>
 #include <cstdint>
 #include <filesystem>
 #include <functional>
+#include <mutex>
 #include <string>
+#include <vector>
 
 namespace Tanagertally::ProcessTests {
 
@@ -29,7 +34,35 @@
     bool isKept = false; ///< Whether it stays.
 };
 
-/** @return A TCP port on loopback that nothing listens at and that this process has not been given before. */
+/**
+ * Ports that no other reservation on this machine draws, so that a process that a test starts later, or starts again, finds its port free.
+ * Thread safety: any thread.
+ */
+class PortReservation
+{
+public:
+    /**
+     * @return A TCP port on loopback that nothing listens at. Ports repeat once this reservation has drawn 2,000. Throws
+     * std::runtime_error if there is none.
+     */
+    std::uint16_t drawPort();
+
+private:
+    /** Consecutive ports that belong to this reservation while it holds the UDP socket at the first of them. */
+    struct Block {
+        std::uint16_t first = 0; ///< The first port.
+        boost::asio::ip::udp::socket lock; ///< Bound to that port, which leaves it free for TCP.
+    };
+
+    bool reserveBlock();
+
+    std::mutex mutex; ///< Guards all members below.
+    boost::asio::io_context io; ///< Owner of the sockets; never runs.
+    std::vector<Block> blocks; ///< Blocks that are reserved.
+    std::size_t drawn = 0; ///< Number of ports drawn since the first one of the first block.
+};
+
+/** @return A port drawn from the reservation of this process. */
 std::uint16_t freePort();
 
 /** Wait until a condition holds. @return Whether it came to hold within the time. */
