Rows of ended jobs are removed beside other work

Cause: CellLeader::addRemovals removed only in a transaction that stores nothing else, and under load there is none.

Evidence: RowsOfEndedJobsAreRemovedUnderSteadyLoad (four minutes of virtual time) failed before: 899 jobs were overdue at 10 jobs a second where 22 are allowed, 8,999 at 100 where 112 are. It passes now.

Why it works: a transaction takes along up to 12 removals, as many as jobs can end with a transaction, within the platform's 100 entries (asserted, and checked by the test). A transaction within one partition takes them only when a dozen is due, since the id rows lie in other partitions. Ended jobs are kept in order, so that no transaction looks at all of them.

--- a/src/cells/cell_leader.cpp
+++ b/src/cells/cell_leader.cpp
@@ -229,7 +229,7 @@
     std::unordered_map<JobId, JobProgress> progress;
     for (StoredProgress &entry : content.progress) {
         if (isFinal(entry.progress.state)) {
-            this->ended.emplace(entry.id, EndedJob{entry.progress.state, now});
+            this->recordEnd(now, entry.id, entry.progress.state);
             continue;
         }
         progress.emplace(entry.id, std::move(entry.progress));
--- a/src/cells/cell_leader.h
+++ b/src/cells/cell_leader.h
@@ -236,6 +236,7 @@
 
     // cell_leader_jobs.cpp: submissions, queries and cancellation.
     void finishJob(TimePoint now, const JobId &id);
+    void recordEnd(TimePoint now, const JobId &id, JobState state);
     void submitBestEffort(TimePoint now, const BestEffortCall &call, const std::shared_ptr<CellJob> &job, bool wasSubmittedBefore);
     void withdrawJob(TimePoint now, const JobId &id);
     void withdrawExpiredJobs(TimePoint now);
@@ -374,6 +375,7 @@
     std::unordered_map<JobId, std::shared_ptr<CellJob>>
         jobs; ///< Stored jobs whose end is not stored, and best-effort jobs that have not ended.
     std::unordered_map<JobId, EndedJob> ended; ///< Jobs whose end is stored and whose rows are not removed yet.
+    std::deque<JobId> removableJobs; ///< Those of `ended` whose rows the transaction in flight doesn't remove, in the order of their ends.
     std::deque<PendingSubmission> pendingSubmissions; ///< Submissions to store, oldest first.
     Batch batch; ///< Contents of the transaction in flight.
     std::vector<JobId> dirtyJobs; ///< Jobs whose progress has to be stored.
--- a/src/cells/cell_leader_jobs.cpp
+++ b/src/cells/cell_leader_jobs.cpp
@@ -476,7 +476,7 @@
     const std::shared_ptr<CellJob> job = this->findJob(id);
     assert(job && isFinal(job->state));
     this->logJobEnd(now, *job);
-    this->ended.emplace(id, EndedJob{job->state, now});
+    this->recordEnd(now, id, job->state);
     if (const auto calls = this->cancelCalls.find(id); calls != this->cancelCalls.end()) {
         for (const CallId call : calls->second) {
             this->actions.emplace_back(AnswerCancel{call, {JobAnswer::Kind::Known, job->state}});
@@ -488,6 +488,13 @@
     this->jobs.erase(id);
 }
 
+void CellLeader::recordEnd(TimePoint now, const JobId &id, JobState state)
+{
+    if (this->ended.emplace(id, EndedJob{state, now}).second) {
+        this->removableJobs.push_back(id);
+    }
+}
+
 void CellLeader::logJobEnd(TimePoint now, const CellJob &job)
 {
     const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(now - job.acceptedAt).count();
--- a/src/cells/cell_leader_store.cpp
+++ b/src/cells/cell_leader_store.cpp
@@ -8,10 +8,14 @@
 
 namespace {
 
-constexpr std::size_t MaxSubmissionsPerTransaction = 24; // Three entries each; the platform accepts 100 entries per transaction.
+constexpr std::size_t MaxEntriesPerTransaction = 100; // The platform's limit.
+constexpr std::size_t LeadEntries = 2; // The chain adds the condition and the rewrite of the lead row.
+constexpr std::size_t MaxSubmissionsPerTransaction = 24; // Three entries each.
 constexpr std::size_t MaxSubmissionsBesideTransfers = 8; // Leaves room for the entries of the transfers.
 constexpr std::size_t MaxProgressPerTransaction = 12; // Two entries each.
-constexpr std::size_t MaxRemovalsPerTransaction = 40; // Two entries each.
+constexpr std::size_t EntriesPerRemoval = 2;
+constexpr std::size_t MaxRemovalsPerTransaction = 40;
+constexpr std::size_t MaxRemovalsBesideOthers = MaxProgressPerTransaction; // No more jobs than that end with a transaction.
 constexpr Duration ProgressDelay = std::chrono::milliseconds(300); // Batches progress; ends have to be acknowledged within 4 s.
 // Less than half of the time after which other instances take the leader as cut off from the store; the rest covers a late event loop.
 constexpr Duration LeadRenewalInterval = std::chrono::seconds(1);
@@ -123,6 +127,7 @@
         }
     }
     this->onTransfersRejected(now, rejected);
+    this->removableJobs.insert(this->removableJobs.begin(), rejected.removedJobs.begin(), rejected.removedJobs.end());
     this->isRosterDirty = this->isRosterDirty || rejected.storesRoster;
     this->isCrashRowUrgent = this->isCrashRowUrgent || rejected.storesCrashes;
     this->flush(now);
@@ -201,18 +206,24 @@
 
 void CellLeader::addRemovals(TimePoint now, StoreTransaction &transaction)
 {
-    if (!this->batch.submissions.empty() || !this->batch.progress.empty() || !this->batch.transfers.empty()) {
-        return; // Callers wait for such a transaction, so it stays small.
+    const bool isAwaited = !this->batch.submissions.empty() || !this->batch.progress.empty() || !this->batch.transfers.empty();
+    const std::size_t used = LeadEntries + transaction.conditions.size() + transaction.writes.size() + transaction.removals.size();
+    assert(used <= MaxEntriesPerTransaction);
+    const std::size_t room = (MaxEntriesPerTransaction - used) / EntriesPerRemoval;
+    const std::size_t limit = std::min(room, isAwaited ? MaxRemovalsBesideOthers : MaxRemovalsPerTransaction);
+    const auto isDue = [&](const JobId &id) { return this->ended.at(id).endedAt + EndedJobRetention < now; };
+    // The id rows are in other partitions, and a transaction over several partitions takes longer.
+    const bool isAcrossPartitions = !this->batch.submissions.empty() || !this->batch.transfers.empty();
+    const bool isFullBatchDue = this->removableJobs.size() >= limit && limit > 0 && isDue(this->removableJobs[limit - 1]);
+    if (isAwaited && !isAcrossPartitions && !isFullBatchDue) {
+        return;
     }
-    for (const auto &[id, job] : this->ended) {
-        if (this->batch.removedJobs.size() == MaxRemovalsPerTransaction) {
-            return;
-        }
-        if (job.endedAt + EndedJobRetention < now) {
-            transaction.removals.push_back(progressKey(this->options.cell, id));
-            transaction.removals.push_back(idKey(id));
-            this->batch.removedJobs.push_back(id);
-        }
+    while (!this->removableJobs.empty() && this->batch.removedJobs.size() < limit && isDue(this->removableJobs.front())) {
+        const JobId &id = this->removableJobs.front();
+        transaction.removals.push_back(progressKey(this->options.cell, id));
+        transaction.removals.push_back(idKey(id));
+        this->batch.removedJobs.push_back(id);
+        this->removableJobs.pop_front();
     }
 }
 
--- a/src/cells/tests/cell_world.cpp
+++ b/src/cells/tests/cell_world.cpp
@@ -251,6 +251,8 @@
     const auto leader = [this, index]() -> CellLeader & { return *this->leaders[index].leader; };
     if (auto *commit = std::get_if<CommitTransaction>(&action)) {
         ++this->transactionCount;
+        const StoreTransaction &sent = commit->transaction;
+        this->largestTransaction = std::max(this->largestTransaction, sent.conditions.size() + sent.writes.size() + sent.removals.size());
         TransactionResult refused;
         refused.outcome = TransactionOutcome::NotApplied;
         this->call(
--- a/src/cells/tests/cell_world.h
+++ b/src/cells/tests/cell_world.h
@@ -58,6 +58,7 @@
     bool doRestartsEndLateOrders = false; ///< Whether an order that is executed late is lost if its endpoint restarts in the meantime.
     std::size_t startCount = 0; ///< Number of started runs.
     std::size_t transactionCount = 0; ///< Number of sent transactions.
+    std::size_t largestTransaction = 0; ///< Largest number of entries of a sent transaction.
 
     /** Adds a leader that claims the lead. @return Its index. */
     std::size_t addLeader();
--- a/src/cells/tests/leader_test.cpp
+++ b/src/cells/tests/leader_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <deque>
 
 using namespace Tanagertally;
 using namespace Tanagertally::Cells;
@@ -35,6 +36,12 @@
     }
 };
 
+JobId jobNumber(std::size_t number)
+{
+    const std::string digits = std::to_string(number);
+    return JobId(std::string(16 - digits.size(), '0') + digits);
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(Leader)
@@ -108,6 +115,38 @@
     BOOST_TEST((this->world.leaders[0].leader->query(Job).kind == JobAnswer::Kind::NoSuchJob));
 }
 
+// Guards against rows of ended jobs that stay for as long as jobs keep coming, because each transaction stores something else.
+BOOST_AUTO_TEST_CASE(RowsOfEndedJobsAreRemovedUnderSteadyLoad)
+{
+    for (const std::size_t jobsPerSecond : {10U, 100U}) {
+        CellWorld world(8);
+        const std::size_t leader = world.addLeader();
+        world.advanceTime(100ms);
+        const std::size_t before = world.store.rowCount();
+        std::deque<std::pair<TimePoint, JobId>> submitted;
+        std::size_t mostRows = 0;
+        std::size_t mostOverdue = 0;
+        for (const TimePoint end = world.now + 4min; world.now < end; world.advanceTime(1000ms / jobsPerSecond)) {
+            submitted.emplace_back(world.now, jobNumber(static_cast<std::size_t>(world.now.time_since_epoch() / 1ms)));
+            world.submit(leader, submitted.back().second, 1);
+            mostRows = std::max(mostRows, world.store.rowCount());
+            const auto isRemoved
+                = [&](const JobId &id) { return world.leaders[leader].leader->query(id).kind == JobAnswer::Kind::NoSuchJob; };
+            while (!submitted.empty() && isRemoved(submitted.front().second)) {
+                submitted.pop_front();
+            }
+            mostOverdue = std::max(mostOverdue, static_cast<std::size_t>(std::ranges::count_if(
+                                                    submitted, [&](const auto &entry) { return entry.first + 150s < world.now; })));
+        }
+        // A job runs for far less than a second and has three rows until its end, two from then on; removals are collected to a dozen.
+        const std::size_t delayed = jobsPerSecond + 12;
+        BOOST_TEST(mostRows <= before + 2 * (150 * jobsPerSecond + delayed) + jobsPerSecond);
+        BOOST_TEST(mostOverdue <= delayed);
+        BOOST_TEST(world.largestTransaction <= 100U);
+        BOOST_TEST(world.violations.empty());
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(TaskThatFailsTooOftenFailsItsJob, OneLeader)
 {
     this->world.runOutcome = [] { return RunOutcome::Failed; };
