Rows that the store never accepts don't stop a cell

Cause: the chain repeats a refused transaction without change. Besides the job's row this holds for large jobs that together exceed the 1 MB of a call, and for rows of progress, roster and losses that have outgrown the limit.

Evidence: JobWithATooLargeRowIsRefused, LargeJobsThatAreSubmittedTogetherAreAllStored, JobWhoseProgressOutgrowsItsRowEnds, CellWithMoreEndpointsThanARosterRowHoldsServes and CellThatHasLostMoreTasksThanARowHoldsServes failed before and pass now. The model of the store now refuses calls over 1 MB in all tests, and larger rows where a test sets their limit.

Submitted rows have a budget of bytes in a transaction.

--- a/src/cells/cell_leader.h
+++ b/src/cells/cell_leader.h
@@ -27,6 +27,7 @@
     InstanceName self; ///< Name of this instance.
     Incarnation incarnation; ///< Incarnation of this process.
     LeaseTerms lease;
+    std::size_t maxRowBytes = std::numeric_limits<std::size_t>::max(); ///< Largest value of a row that the store accepts.
     TimePoint
         formerLeaderSeenAt{}; ///< When the first leader whose callers may not have returned gave its last sign of life; unset if none.
     /** Returns whether the leader named by the lead row may be replaced; called at most once, before the lead is claimed. */
@@ -167,6 +168,7 @@
     struct PendingSubmission {
         std::shared_ptr<CellJob> job;
         std::vector<CallId> calls; ///< Calls that await the answer.
+        std::string row; ///< Value of the job's row.
     };
 
     /** Contents of the transaction in flight. */
@@ -300,6 +302,7 @@
     void addCrashes(TimePoint now, StoreTransaction &transaction);
     void addRemovals(TimePoint now, StoreTransaction &transaction);
     bool isCommitDue(TimePoint now) const;
+    bool fitsIntoRow(const RowKey &key, std::string_view value); ///< Logs a value that is too large for the store.
     void markProgressDirty(TimePoint now, CellJob &job);
 
     // cell_dispatch.cpp: endpoints and runs.
--- a/src/cells/cell_leader_jobs.cpp
+++ b/src/cells/cell_leader_jobs.cpp
@@ -48,7 +48,12 @@
         this->refuse({&call, 1}, *job, refusal);
         return;
     }
-    this->pendingSubmissions.push_back({job, {call}});
+    std::string row = encodeJob(job->spec, job->terms);
+    if (const std::string fault = validateRowSize(job->spec, row, this->options.maxRowBytes); !fault.empty()) {
+        this->refuse({&call, 1}, *job, fault);
+        return;
+    }
+    this->pendingSubmissions.push_back({job, {call}, std::move(row)});
     this->flush(now);
 }
 
--- a/src/cells/cell_leader_store.cpp
+++ b/src/cells/cell_leader_store.cpp
@@ -13,6 +13,11 @@
 constexpr std::size_t MaxSubmissionsPerTransaction = 24; // Three entries each.
 constexpr std::size_t MaxSubmissionsBesideTransfers = 8; // Leaves room for the entries of the transfers.
 constexpr std::size_t MaxProgressPerTransaction = 12; // Two entries each.
+// Total size of the values, in bytes. The platform accepts 1 MB per transaction, in which a value takes a third more.
+constexpr std::size_t MaxSubmittedValueBytes = 500'000;
+constexpr std::size_t MaxSubmittedValueBytesBesideTransfers = 250'000;
+constexpr std::size_t MaxValueBytesBeforeProgress = 550'000;
+constexpr std::size_t RowHeaderBytes = 16; // At most, of an encoded list.
 constexpr std::size_t EntriesPerRemoval = 2;
 constexpr std::size_t MaxRemovalsPerTransaction = 40;
 constexpr std::size_t MaxRemovalsBesideOthers = MaxProgressPerTransaction; // No more jobs than that end with a transaction.
@@ -166,27 +171,42 @@
 {
     const bool haveTransfers = !this->pendingTransfers.empty() || !this->confirmedTransfers.empty();
     const std::size_t limit = haveTransfers ? MaxSubmissionsBesideTransfers : MaxSubmissionsPerTransaction;
+    const std::size_t maxBytes = haveTransfers ? MaxSubmittedValueBytesBesideTransfers : MaxSubmittedValueBytes;
+    std::size_t bytes = 0;
     while (!this->pendingSubmissions.empty() && this->batch.submissions.size() < limit) {
+        bytes += this->pendingSubmissions.front().row.size();
+        if (bytes > maxBytes && !this->batch.submissions.empty()) {
+            return;
+        }
         PendingSubmission submission = std::move(this->pendingSubmissions.front());
         this->pendingSubmissions.pop_front();
         const JobId &id = submission.job->id;
         transaction.conditions.push_back({idKey(id), RowVersion(0)});
         transaction.writes.push_back({idKey(id), this->options.cell.value});
-        transaction.writes.push_back({jobKey(this->options.cell, id), encodeJob(*submission.job)});
+        transaction.writes.push_back({jobKey(this->options.cell, id), submission.row});
         this->batch.submissions.push_back(std::move(submission));
     }
 }
 
 void CellLeader::addProgress(StoreTransaction &transaction)
 {
-    const std::size_t count = std::min(this->dirtyJobs.size(), MaxProgressPerTransaction);
-    for (std::size_t number = 0; number < count; ++number) {
-        const JobId &id = this->dirtyJobs[number];
+    const std::size_t limit = std::min(this->dirtyJobs.size(), MaxProgressPerTransaction);
+    std::size_t count = 0;
+    while (count < limit && (count == 0 || transaction.valueBytes() <= MaxValueBytesBeforeProgress)) {
+        const JobId &id = this->dirtyJobs[count++];
         const std::shared_ptr<CellJob> job = this->findJob(id);
         if (!job || std::ranges::find(this->batch.transfers, id, &JobTransfer::job) != this->batch.transfers.end()) {
             continue;
         }
-        transaction.writes.push_back({progressKey(this->options.cell, id), encodeProgress(job->progress())});
+        const RowKey key = progressKey(this->options.cell, id);
+        std::string row = encodeProgress(job->progress());
+        if (!this->fitsIntoRow(key, row)) {
+            if (!isFinal(job->state)) {
+                continue; // Its ends stay unacknowledged until the job has ended.
+            }
+            row = encodeProgress({job->state, {}, {}, 0}); // All that is read of an ended job.
+        }
+        transaction.writes.push_back({key, std::move(row)});
         if (isFinal(job->state)) {
             transaction.removals.push_back(jobKey(this->options.cell, id));
         }
@@ -240,15 +260,32 @@
     }
     this->isRosterDirty = false;
     this->isRosterOutdated = false;
-    std::vector<EndpointRecord> roster;
-    for (const auto &[name, endpoint] : this->endpoints) {
-        if (!this->hasLeft(now, *endpoint)) {
-            roster.push_back(endpoint->record);
-            this->batch.roster.push_back(name);
+    std::vector<EndpointRecord> present;
+    for (const bool isInRoster : {true, false}) { // Those that may have runs are the last to be left out.
+        for (const auto &[name, endpoint] : this->endpoints) {
+            if (endpoint->isInRoster == isInRoster && !this->hasLeft(now, *endpoint)) {
+                present.push_back(endpoint->record);
+            }
+        }
+    }
+    std::string row = encodeRoster(present);
+    if (!this->fitsIntoRow(rosterKey(this->options.cell), row)) {
+        std::size_t bytes = RowHeaderBytes;
+        const auto firstLeftOut = std::ranges::find_if(present, [&](const EndpointRecord &record) {
+            bytes += encodeRoster({&record, 1}).size();
+            return bytes > this->options.maxRowBytes;
+        });
+        for (auto record = firstLeftOut; record != present.end(); ++record) {
+            this->endpoints.at(record->name)->isInRoster = false; // It gets no runs.
         }
+        present.erase(firstLeftOut, present.end());
+        row = encodeRoster(present);
+    }
+    for (const EndpointRecord &record : present) {
+        this->batch.roster.push_back(record.name);
     }
     this->batch.storesRoster = true;
-    transaction.writes.push_back({rosterKey(this->options.cell), encodeRoster(roster)});
+    transaction.writes.push_back({rosterKey(this->options.cell), std::move(row)});
 }
 
 bool CellLeader::hasLeft(TimePoint now, const CellEndpoint &endpoint) const
@@ -266,7 +303,26 @@
     this->isCrashRowDirty = false;
     this->isCrashRowUrgent = false;
     this->batch.storesCrashes = true;
-    transaction.writes.push_back({lossesKey(this->options.cell), encodeLosses(this->crashes.losses())});
+    std::span<const EndpointLoss> losses = this->crashes.losses();
+    std::string row = encodeLosses(losses);
+    if (!this->fitsIntoRow(lossesKey(this->options.cell), row)) {
+        while (!losses.empty() && row.size() > this->options.maxRowBytes) {
+            losses = losses.subspan((losses.size() + 1) / 2); // The next leader needs the latest ones most.
+            row = encodeLosses(losses);
+        }
+    }
+    transaction.writes.push_back({lossesKey(this->options.cell), std::move(row)});
+}
+
+bool CellLeader::fitsIntoRow(const RowKey &key, std::string_view value)
+{
+    if (value.size() <= this->options.maxRowBytes) {
+        return true;
+    }
+    this->log("row-too-large",
+              {{"table", key.table}, {"key", key.key}, {"bytes", toText(value.size())}, {"limit", toText(this->options.maxRowBytes)}},
+              true);
+    return false;
 }
 
 void CellLeader::markProgressDirty(TimePoint now, CellJob &job)
--- a/src/cells/cell_transfer.cpp
+++ b/src/cells/cell_transfer.cpp
@@ -19,6 +19,7 @@
 constexpr Duration RepeatedOfferInterval
     = std::chrono::seconds(1); // Between looks at a job that no other cell takes; leaves others a turn.
 constexpr std::size_t MaxTransfersPerTransaction = 6; // Six entries each; the platform accepts 100 entries per transaction.
+constexpr std::size_t MaxValueBytesBeforeTransfer = 400'000; // Leaves room for a transfer; the platform accepts 1 MB per transaction.
 constexpr std::size_t MaxEndedTransfersPerTransaction = 10; // One entry each.
 constexpr std::size_t MaxAnnouncedTransfers = 24; // Bounds the size of a message.
 constexpr Duration AnnouncementInterval = std::chrono::milliseconds(300); // The other leader reads two rows before it confirms.
@@ -99,7 +100,8 @@
 
 void CellLeader::addTransfers(StoreTransaction &transaction)
 {
-    while (!this->pendingTransfers.empty() && this->batch.transfers.size() < MaxTransfersPerTransaction) {
+    while (!this->pendingTransfers.empty() && this->batch.transfers.size() < MaxTransfersPerTransaction
+           && transaction.valueBytes() <= MaxValueBytesBeforeTransfer) {
         JobTransfer transfer = std::move(this->pendingTransfers.front());
         this->pendingTransfers.pop_front();
         const std::shared_ptr<CellJob> job = this->findJob(transfer.job);
@@ -108,7 +110,7 @@
         }
         JobProgress progress = job->progress();
         progress.runsBefore = this->lastRunNumber(*job);
-        transaction.writes.push_back({jobKey(transfer.target, job->id), encodeJob(*job)});
+        transaction.writes.push_back({jobKey(transfer.target, job->id), encodeJob(job->spec, job->terms)});
         transaction.writes.push_back({progressKey(transfer.target, job->id), encodeProgress(progress)});
         transaction.writes.push_back({idKey(job->id), transfer.target.value});
         transaction.writes.push_back({transferKey(this->options.cell, job->id), encodeTransfer(transfer)});
--- a/src/cells/store_rows.cpp
+++ b/src/cells/store_rows.cpp
@@ -110,9 +110,19 @@
     });
 }
 
-std::string encodeJob(const CellJob &job)
+std::string encodeJob(const JobSpec &spec, const JobTerms &terms)
 {
-    return toCborText(Json::array({specToJson(job.spec), termsToJson(job.terms)}));
+    return toCborText(Json::array({specToJson(spec), termsToJson(terms)}));
+}
+
+std::string validateRowSize(const JobSpec &spec, std::string_view row, std::size_t maxRowBytes)
+{
+    if (row.size() <= maxRowBytes) {
+        return {};
+    }
+    const bool isPayloadLarger = spec.payload->size() >= row.size() / 2;
+    return std::string(isPayloadLarger ? "spec" : "steps") + ": the job takes " + std::to_string(row.size())
+           + " bytes in the store, must be at most " + std::to_string(maxRowBytes);
 }
 
 Result<StoredJob> decodeJob(const JobId &id, std::string_view value)
--- a/src/cells/store_rows.h
+++ b/src/cells/store_rows.h
@@ -77,7 +77,14 @@
 /** @return The lead, or BadInput for a malformed value. */
 Result<LeadRecord> decodeLead(std::string_view value);
 /** @return Row value. */
-std::string encodeJob(const CellJob &job);
+std::string encodeJob(const JobSpec &spec, const JobTerms &terms);
+/**
+ * Checks whether the row of a job is accepted by the store.
+ * @param row Row value of the job.
+ * @param maxRowBytes Largest value of a row.
+ * @return Error text that names the field and the bound; empty if the row is accepted. Thread safety: any thread.
+ */
+std::string validateRowSize(const JobSpec &spec, std::string_view row, std::size_t maxRowBytes);
 /** @return The job, or BadInput for a malformed value. */
 Result<StoredJob> decodeJob(const JobId &id, std::string_view value);
 /** @return Row value. */
--- a/src/cells/store_type.h
+++ b/src/cells/store_type.h
@@ -44,6 +44,16 @@
     std::vector<RowCondition> conditions;
     std::vector<RowWrite> writes;
     std::vector<RowKey> removals;
+
+    /** @return Total size of the values to write, in bytes. */
+    std::size_t valueBytes() const
+    {
+        std::size_t bytes = 0;
+        for (const RowWrite &write : this->writes) {
+            bytes += write.value.size();
+        }
+        return bytes;
+    }
 };
 
 /** Outcome of a transaction. */
--- a/src/cells/tests/leader_test.cpp
+++ b/src/cells/tests/leader_test.cpp
@@ -42,6 +42,36 @@
     return JobId(std::string(16 - digits.size(), '0') + digits);
 }
 
+/** A cell whose store accepts small rows only. */
+struct SmallRows {
+    CellWorld world{4};
+    std::size_t leader = 0;
+
+    void lead(std::size_t maxRowBytes)
+    {
+        this->world.store.maxRowBytes = maxRowBytes;
+        this->leader = this->world.addLeader();
+        this->world.advanceTime(100ms);
+    }
+
+    CallId submitWithPayload(const JobId &id, std::size_t payloadBytes)
+    {
+        StepSpec step;
+        step.demand = {1000, 10, 0};
+        step.estimate = this->world.workTime;
+        const JobSpec spec{std::make_shared<const std::string>(payloadBytes, 'x'), {step}, false};
+        return this->world.submit(this->leader, id, spec, {QueueName("queue"), ServiceName("service"), 0, 2, 1.6, 60ms});
+    }
+
+    /** Submits a small job. @return Whether it is accepted and ends as done. */
+    bool servesAnotherJob()
+    {
+        const JobId other = jobNumber(9999);
+        this->world.submit(this->leader, other, 1);
+        return this->world.advanceUntil([&] { return this->world.shows(this->leader, other, JobState::Done); }, 3s);
+    }
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(Leader)
@@ -115,6 +145,84 @@
     BOOST_TEST((this->world.leaders[0].leader->query(Job).kind == JobAnswer::Kind::NoSuchJob));
 }
 
+// Guards against a cell that stores nothing any more because it has accepted a job whose row the store doesn't.
+BOOST_FIXTURE_TEST_CASE(JobWithATooLargeRowIsRefused, SmallRows)
+{
+    this->lead(65536);
+    const CallId large = this->submitWithPayload(Job, 65536);
+    const CallId fitting = this->submitWithPayload(jobNumber(1), 65000);
+    BOOST_TEST(this->servesAnotherJob());
+    BOOST_TEST(this->world.isAccepted(this->leader, fitting));
+    const auto &answers = this->world.leaders[this->leader].submitAnswers;
+    BOOST_TEST_REQUIRE(answers.contains(large));
+    BOOST_TEST((answers.at(large).verdict == SubmitVerdict::Refused));
+    BOOST_TEST(answers.at(large).reason.starts_with("spec: "));
+    BOOST_TEST(answers.at(large).reason.find("65536") != std::string::npos);
+    BOOST_TEST(this->world.violations.empty());
+}
+
+// Guards against a transaction that the store refuses again and again because its rows, each of which fits, exceed the limit of a call.
+BOOST_FIXTURE_TEST_CASE(LargeJobsThatAreSubmittedTogetherAreAllStored, SmallRows)
+{
+    this->lead(65536);
+    std::vector<CallId> calls;
+    for (std::size_t number = 1; number <= 40; ++number) {
+        calls.push_back(this->submitWithPayload(jobNumber(number), 60000));
+    }
+    this->world.advanceTime(1s);
+    for (const CallId call : calls) {
+        BOOST_TEST(this->world.isAccepted(this->leader, call));
+    }
+}
+
+// Guards against a cell that stores nothing any more because the progress of a job has outgrown the store's rows.
+BOOST_FIXTURE_TEST_CASE(JobWhoseProgressOutgrowsItsRowEnds, SmallRows)
+{
+    this->lead(400);
+    this->world.submit(this->leader, Job, 150);
+    BOOST_TEST(this->world.advanceUntil([this] { return this->world.shows(this->leader, Job, JobState::Done); }, 10s));
+    BOOST_TEST(this->servesAnotherJob());
+    BOOST_TEST(this->world.violations.empty());
+}
+
+// Guards against a cell that stores nothing any more because its roster has outgrown the store's rows.
+BOOST_FIXTURE_TEST_CASE(CellWithMoreEndpointsThanARosterRowHoldsServes, SmallRows)
+{
+    for (std::size_t number = 0; number < 60; ++number) {
+        EndpointModel endpoint = this->world.endpoints.front();
+        endpoint.record.name = EndpointName("further" + std::to_string(number));
+        endpoint.record.address = NetAddress("10.0.1." + std::to_string(number) + ":1");
+        this->world.endpoints.push_back(endpoint);
+    }
+    this->lead(1000);
+    BOOST_TEST(this->servesAnotherJob());
+    BOOST_TEST(this->world.violations.empty());
+}
+
+// Guards against a cell that stores nothing any more because its endpoints were lost under more tasks than a row holds.
+BOOST_FIXTURE_TEST_CASE(CellThatHasLostMoreTasksThanARowHoldsServes, SmallRows)
+{
+    this->world.endpoints[0].record.capacity = {64000, 64000, 0};
+    this->world.endpoints[0].slots = 64;
+    for (std::size_t number = 1; number < this->world.endpoints.size(); ++number) {
+        this->world.endpoints[number].isUp = false;
+    }
+    this->lead(600);
+    this->world.workTime = 2s;
+    for (std::size_t number = 1; number <= 40; ++number) {
+        this->world.submit(this->leader, jobNumber(number), 1);
+    }
+    this->world.advanceTime(500ms);
+    for (EndpointModel &endpoint : this->world.endpoints) {
+        endpoint.isUp = !endpoint.isUp;
+        endpoint.isReachable = endpoint.isUp;
+    }
+    this->world.registerEndpoints(this->leader);
+    this->world.advanceTime(2s);
+    BOOST_TEST(this->servesAnotherJob());
+    BOOST_TEST(this->world.violations.empty());
+}
+
 // Guards against rows of ended jobs that stay for as long as jobs keep coming, because each transaction stores something else.
 BOOST_AUTO_TEST_CASE(RowsOfEndedJobsAreRemovedUnderSteadyLoad)
 {
--- a/src/cells/tests/rows_test.cpp
+++ b/src/cells/tests/rows_test.cpp
@@ -69,6 +69,19 @@
 
 BOOST_AUTO_TEST_SUITE(OddRows)
 
+// Guards against callers that can't tell from a refusal which part of their job is too large, and by how much.
+BOOST_AUTO_TEST_CASE(RefusalOfALargeJobNamesTheFieldAndTheBound)
+{
+    JobSpec job{std::make_shared<const std::string>(RowBytes, 'x'), {StepSpec()}, false};
+    const auto check = [&job] { return validateRowSize(job, encodeJob(job, {}), RowBytes); };
+    BOOST_TEST(check().starts_with("spec: "));
+    BOOST_TEST(check().ends_with("must be at most 65536"));
+    job.payload = std::make_shared<const std::string>();
+    BOOST_TEST(check().empty());
+    job.steps.resize(RowBytes / 8);
+    BOOST_TEST(check().starts_with("steps: "));
+}
+
 // Guards against an overflow of the stack: a row of 64 KiB may open a value within a value with each byte.
 BOOST_AUTO_TEST_CASE(DeeplyNestedRowIsUnreadable)
 {
--- a/src/cells/tests/store_model.cpp
+++ b/src/cells/tests/store_model.cpp
@@ -1,16 +1,29 @@
 #include "cells/tests/store_model.h"
 
+#include <algorithm>
+
 namespace Tanagertally::Cells::Test {
 
 namespace {
 
 constexpr std::size_t MaxHistoryLength = 20000; // Number of changes: 20 s of the users' store at 1,000 changes/s.
+constexpr std::size_t MaxTransactionBytes = 1'000'000; // The platform's limit.
 
 } // namespace
 
 TransactionResult StoreModel::apply(const StoreTransaction &transaction)
 {
     TransactionResult result;
+    std::size_t bytes = 0;
+    bool hasLargeRow = false;
+    for (const RowWrite &write : transaction.writes) {
+        bytes += (write.value.size() + 2) / 3 * 4; // Base64.
+        hasLargeRow = hasLargeRow || write.value.size() > this->maxRowBytes;
+    }
+    if (hasLargeRow || bytes > MaxTransactionBytes) {
+        result.outcome = TransactionOutcome::NotApplied;
+        return result;
+    }
     const auto nameOf = [](const RowKey &key) { return RowName(key.table, key.partition, key.key); };
     bool holds = true;
     for (const RowCondition &condition : transaction.conditions) {
--- a/src/cells/tests/store_model.h
+++ b/src/cells/tests/store_model.h
@@ -4,6 +4,7 @@
 #include "cells/store_type.h"
 
 #include <deque>
+#include <limits>
 #include <map>
 #include <tuple>
 
@@ -13,7 +14,9 @@
 class StoreModel
 {
 public:
-    /** Executes a transaction atomically. */
+    std::size_t maxRowBytes = std::numeric_limits<std::size_t>::max(); ///< Largest value of a row.
+
+    /** Executes a transaction atomically; not applied if a value, or all of them together, are too large. */
     TransactionResult apply(const StoreTransaction &transaction);
 
     /** @return Rows of a partition in key order. */
--- a/src/node/node_leads.cpp
+++ b/src/node/node_leads.cpp
@@ -81,7 +81,8 @@
     LedCell &entry = this->ledCells[cell];
     entry.generation = ++this->lastGeneration;
     entry.claimedAt = this->ports.now();
-    CellLeaderOptions leaderOptions{cell, this->options.self.name, this->options.self.incarnation, this->options.lease};
+    CellLeaderOptions leaderOptions{cell, this->options.self.name, this->options.self.incarnation, this->options.lease,
+                                    this->options.maxRowBytes};
     leaderOptions.formerLeaderSeenAt = this->cells.at(cell).lostAt;
     leaderOptions.canReplace = [this, cell](const LeadRecord &lead) { return this->canReplace(cell, lead); };
     leaderOptions.callerSilence = [this](CallId call) { return this->callerSilence(call); };
