--- a/src/node/node.h
+++ b/src/node/node.h
@@ -19,9 +19,9 @@
     InstanceRecord self; ///< Record of this instance.
     std::vector<FailureDomain> domains; ///< All failure domains.
     LeaseTerms lease; ///< Bounds of the leases of endpoints.
-    std::size_t maxRowBytes = std::numeric_limits<std::size_t>::max(); ///< Largest value of a row that the store accepts.
     Duration callReserve = std::chrono::milliseconds(100); ///< A call is answered this long before its deadline, as unknown if need be.
     Duration evacuationBound{}; ///< Time after an operator's request in which endpoints of the domain may still start tasks; 0 for none.
+    std::size_t maxRowBytes = std::numeric_limits<std::size_t>::max(); ///< Largest value of a row that the store accepts.
 };
 
 /**
