--- a/src/cells/cell_leader_jobs.cpp
+++ b/src/cells/cell_leader_jobs.cpp
@@ -48,7 +48,12 @@
         this->refuse({&call, 1}, *job, refusal);
         return;
     }
-    this->pendingSubmissions.push_back({job, {call}});
+    std::string row = encodeJob(job->spec, job->terms);
+    if (const std::string fault = validateRowSize(job->spec, row, this->options.maxRowBytes); !fault.empty()) {
+        this->refuse({&call, 1}, *job, fault);
+        return;
+    }
+    this->pendingSubmissions.push_back({job, {call}, std::move(row)});
     this->flush(now);
 }
 
@@ -476,7 +481,7 @@
     const std::shared_ptr<CellJob> job = this->findJob(id);
     assert(job && isFinal(job->state));
     this->logJobEnd(now, *job);
-    this->ended.emplace(id, EndedJob{job->state, now});
+    this->recordEnd(now, id, job->state);
     if (const auto calls = this->cancelCalls.find(id); calls != this->cancelCalls.end()) {
         for (const CallId call : calls->second) {
             this->actions.emplace_back(AnswerCancel{call, {JobAnswer::Kind::Known, job->state}});
@@ -488,6 +493,13 @@
     this->jobs.erase(id);
 }
 
+void CellLeader::recordEnd(TimePoint now, const JobId &id, JobState state)
+{
+    if (this->ended.emplace(id, EndedJob{state, now}).second) {
+        this->removableJobs.push_back(id);
+    }
+}
+
 void CellLeader::logJobEnd(TimePoint now, const CellJob &job)
 {
     const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(now - job.acceptedAt).count();
--- a/src/cells/cell_leader_store.cpp
+++ b/src/cells/cell_leader_store.cpp
@@ -8,10 +8,19 @@
 
 namespace {
 
-constexpr std::size_t MaxSubmissionsPerTransaction = 24; // Three entries each; the platform accepts 100 entries per transaction.
+constexpr std::size_t MaxEntriesPerTransaction = 100; // The platform's limit.
+constexpr std::size_t LeadEntries = 2; // The chain adds the condition and the rewrite of the lead row.
+constexpr std::size_t MaxSubmissionsPerTransaction = 24; // Three entries each.
 constexpr std::size_t MaxSubmissionsBesideTransfers = 8; // Leaves room for the entries of the transfers.
 constexpr std::size_t MaxProgressPerTransaction = 12; // Two entries each.
-constexpr std::size_t MaxRemovalsPerTransaction = 40; // Two entries each.
+// Total size of the values, in bytes. The platform accepts 1 MB per transaction, in which a value takes a third more.
+constexpr std::size_t MaxSubmittedValueBytes = 500'000;
+constexpr std::size_t MaxSubmittedValueBytesBesideTransfers = 250'000;
+constexpr std::size_t MaxValueBytesBeforeProgress = 550'000;
+constexpr std::size_t RowHeaderBytes = 16; // At most, of an encoded list.
+constexpr std::size_t EntriesPerRemoval = 2;
+constexpr std::size_t MaxRemovalsPerTransaction = 40;
+constexpr std::size_t MaxRemovalsBesideOthers = MaxProgressPerTransaction; // No more jobs than that end with a transaction.
 constexpr Duration ProgressDelay = std::chrono::milliseconds(300); // Batches progress; ends have to be acknowledged within 4 s.
 // Less than half of the time after which other instances take the leader as cut off from the store; the rest covers a late event loop.
 constexpr Duration LeadRenewalInterval = std::chrono::seconds(1);
@@ -123,6 +132,7 @@
         }
     }
     this->onTransfersRejected(now, rejected);
+    this->removableJobs.insert(this->removableJobs.begin(), rejected.removedJobs.begin(), rejected.removedJobs.end());
     this->isRosterDirty = this->isRosterDirty || rejected.storesRoster;
     this->isCrashRowUrgent = this->isCrashRowUrgent || rejected.storesCrashes;
     this->flush(now);
@@ -161,27 +171,42 @@
 {
     const bool haveTransfers = !this->pendingTransfers.empty() || !this->confirmedTransfers.empty();
     const std::size_t limit = haveTransfers ? MaxSubmissionsBesideTransfers : MaxSubmissionsPerTransaction;
+    const std::size_t maxBytes = haveTransfers ? MaxSubmittedValueBytesBesideTransfers : MaxSubmittedValueBytes;
+    std::size_t bytes = 0;
     while (!this->pendingSubmissions.empty() && this->batch.submissions.size() < limit) {
+        bytes += this->pendingSubmissions.front().row.size();
+        if (bytes > maxBytes && !this->batch.submissions.empty()) {
+            return;
+        }
         PendingSubmission submission = std::move(this->pendingSubmissions.front());
         this->pendingSubmissions.pop_front();
         const JobId &id = submission.job->id;
         transaction.conditions.push_back({idKey(id), RowVersion(0)});
         transaction.writes.push_back({idKey(id), this->options.cell.value});
-        transaction.writes.push_back({jobKey(this->options.cell, id), encodeJob(*submission.job)});
+        transaction.writes.push_back({jobKey(this->options.cell, id), submission.row});
         this->batch.submissions.push_back(std::move(submission));
     }
 }
 
 void CellLeader::addProgress(StoreTransaction &transaction)
 {
-    const std::size_t count = std::min(this->dirtyJobs.size(), MaxProgressPerTransaction);
-    for (std::size_t number = 0; number < count; ++number) {
-        const JobId &id = this->dirtyJobs[number];
+    const std::size_t limit = std::min(this->dirtyJobs.size(), MaxProgressPerTransaction);
+    std::size_t count = 0;
+    while (count < limit && (count == 0 || transaction.valueBytes() <= MaxValueBytesBeforeProgress)) {
+        const JobId &id = this->dirtyJobs[count++];
         const std::shared_ptr<CellJob> job = this->findJob(id);
         if (!job || std::ranges::find(this->batch.transfers, id, &JobTransfer::job) != this->batch.transfers.end()) {
             continue;
         }
-        transaction.writes.push_back({progressKey(this->options.cell, id), encodeProgress(job->progress())});
+        const RowKey key = progressKey(this->options.cell, id);
+        std::string row = encodeProgress(job->progress());
+        if (!this->fitsIntoRow(key, row)) {
+            if (!isFinal(job->state)) {
+                continue; // Its ends stay unacknowledged until the job has ended.
+            }
+            row = encodeProgress({job->state, {}, {}, 0}); // All that is read of an ended job.
+        }
+        transaction.writes.push_back({key, std::move(row)});
         if (isFinal(job->state)) {
             transaction.removals.push_back(jobKey(this->options.cell, id));
         }
@@ -201,18 +226,24 @@
 
 void CellLeader::addRemovals(TimePoint now, StoreTransaction &transaction)
 {
-    if (!this->batch.submissions.empty() || !this->batch.progress.empty() || !this->batch.transfers.empty()) {
-        return; // Callers wait for such a transaction, so it stays small.
+    const bool isAwaited = !this->batch.submissions.empty() || !this->batch.progress.empty() || !this->batch.transfers.empty();
+    const std::size_t used = LeadEntries + transaction.conditions.size() + transaction.writes.size() + transaction.removals.size();
+    assert(used <= MaxEntriesPerTransaction);
+    const std::size_t room = (MaxEntriesPerTransaction - used) / EntriesPerRemoval;
+    const std::size_t limit = std::min(room, isAwaited ? MaxRemovalsBesideOthers : MaxRemovalsPerTransaction);
+    const auto isDue = [&](const JobId &id) { return this->ended.at(id).endedAt + EndedJobRetention < now; };
+    // The id rows are in other partitions, and a transaction over several partitions takes longer.
+    const bool isAcrossPartitions = !this->batch.submissions.empty() || !this->batch.transfers.empty();
+    const bool isFullBatchDue = this->removableJobs.size() >= limit && limit > 0 && isDue(this->removableJobs[limit - 1]);
+    if (isAwaited && !isAcrossPartitions && !isFullBatchDue) {
+        return;
     }
-    for (const auto &[id, job] : this->ended) {
-        if (this->batch.removedJobs.size() == MaxRemovalsPerTransaction) {
-            return;
-        }
-        if (job.endedAt + EndedJobRetention < now) {
-            transaction.removals.push_back(progressKey(this->options.cell, id));
-            transaction.removals.push_back(idKey(id));
-            this->batch.removedJobs.push_back(id);
-        }
+    while (!this->removableJobs.empty() && this->batch.removedJobs.size() < limit && isDue(this->removableJobs.front())) {
+        const JobId &id = this->removableJobs.front();
+        transaction.removals.push_back(progressKey(this->options.cell, id));
+        transaction.removals.push_back(idKey(id));
+        this->batch.removedJobs.push_back(id);
+        this->removableJobs.pop_front();
     }
 }
 
@@ -229,15 +260,32 @@
     }
     this->isRosterDirty = false;
     this->isRosterOutdated = false;
-    std::vector<EndpointRecord> roster;
-    for (const auto &[name, endpoint] : this->endpoints) {
-        if (!this->hasLeft(now, *endpoint)) {
-            roster.push_back(endpoint->record);
-            this->batch.roster.push_back(name);
+    std::vector<EndpointRecord> present;
+    for (const bool isInRoster : {true, false}) { // Those that may have runs are the last to be left out.
+        for (const auto &[name, endpoint] : this->endpoints) {
+            if (endpoint->isInRoster == isInRoster && !this->hasLeft(now, *endpoint)) {
+                present.push_back(endpoint->record);
+            }
         }
     }
+    std::string row = encodeRoster(present);
+    if (!this->fitsIntoRow(rosterKey(this->options.cell), row)) {
+        std::size_t bytes = RowHeaderBytes;
+        const auto firstLeftOut = std::ranges::find_if(present, [&](const EndpointRecord &record) {
+            bytes += encodeRoster({&record, 1}).size();
+            return bytes > this->options.maxRowBytes;
+        });
+        for (auto record = firstLeftOut; record != present.end(); ++record) {
+            this->endpoints.at(record->name)->isInRoster = false; // It gets no runs.
+        }
+        present.erase(firstLeftOut, present.end());
+        row = encodeRoster(present);
+    }
+    for (const EndpointRecord &record : present) {
+        this->batch.roster.push_back(record.name);
+    }
     this->batch.storesRoster = true;
-    transaction.writes.push_back({rosterKey(this->options.cell), encodeRoster(roster)});
+    transaction.writes.push_back({rosterKey(this->options.cell), std::move(row)});
 }
 
 bool CellLeader::hasLeft(TimePoint now, const CellEndpoint &endpoint) const
@@ -255,7 +303,26 @@
     this->isCrashRowDirty = false;
     this->isCrashRowUrgent = false;
     this->batch.storesCrashes = true;
-    transaction.writes.push_back({lossesKey(this->options.cell), encodeLosses(this->crashes.losses())});
+    std::span<const EndpointLoss> losses = this->crashes.losses();
+    std::string row = encodeLosses(losses);
+    if (!this->fitsIntoRow(lossesKey(this->options.cell), row)) {
+        while (!losses.empty() && row.size() > this->options.maxRowBytes) {
+            losses = losses.subspan((losses.size() + 1) / 2); // The next leader needs the latest ones most.
+            row = encodeLosses(losses);
+        }
+    }
+    transaction.writes.push_back({lossesKey(this->options.cell), std::move(row)});
+}
+
+bool CellLeader::fitsIntoRow(const RowKey &key, std::string_view value)
+{
+    if (value.size() <= this->options.maxRowBytes) {
+        return true;
+    }
+    this->log("row-too-large",
+              {{"table", key.table}, {"key", key.key}, {"bytes", toText(value.size())}, {"limit", toText(this->options.maxRowBytes)}},
+              true);
+    return false;
 }
 
 void CellLeader::markProgressDirty(TimePoint now, CellJob &job)
--- a/src/cells/tests/cell_world.cpp
+++ b/src/cells/tests/cell_world.cpp
@@ -40,7 +40,8 @@
 {
     const std::size_t index = this->leaders.size();
     this->leaders.emplace_back();
-    const CellLeaderOptions options{CellName("cell"), InstanceName("i" + std::to_string(index)), Incarnation(index + 1), LeaseTerms()};
+    const CellLeaderOptions options{CellName("cell"), InstanceName("i" + std::to_string(index)), Incarnation(index + 1), LeaseTerms(),
+                                    this->store.maxRowBytes};
     this->leaders.back().leader = std::make_unique<CellLeader>(options, this->now);
     this->registerEndpoints(index);
     return index;
@@ -255,6 +256,8 @@
     const auto leader = [this, index]() -> CellLeader & { return *this->leaders[index].leader; };
     if (auto *commit = std::get_if<CommitTransaction>(&action)) {
         ++this->transactionCount;
+        const StoreTransaction &sent = commit->transaction;
+        this->largestTransaction = std::max(this->largestTransaction, sent.conditions.size() + sent.writes.size() + sent.removals.size());
         TransactionResult refused;
         refused.outcome = TransactionOutcome::NotApplied;
         this->call(
