Node world: an instance's own link doesn't keep the link to it open

What arrives on the link that another instance opened counts for its silence only, as in PeerBus; a half-open link is found by the missing answers on it. Without this a link that had been lost at its other end during a suspension stayed open for good, and the schedules reported accepted jobs as not known (family stored, an error of the model).

--- a/src/node/tests/node_world.cpp
+++ b/src/node/tests/node_world.cpp
@@ -479,7 +479,7 @@
     links.silence = [this, node](const InstanceName &name) {
         const auto link = this->nodes[node].links.find(this->indexOf(name));
         const bool isKnown = link != this->nodes[node].links.end() && link->second.repliedAt != TimePoint();
-        return isKnown ? this->world.now - link->second.repliedAt : Duration::max();
+        return isKnown ? this->world.now - std::max(link->second.repliedAt, link->second.inboundAt) : Duration::max();
     };
     links.inboundSilence = [this, node](LinkHandle handle) {
         const auto link = this->nodes[openerOf(handle)].links.find(node);
@@ -489,7 +489,7 @@
     links.recordActivity = [this, node](const InstanceName &name) {
         const auto link = this->nodes[node].links.find(this->indexOf(name));
         if (link != this->nodes[node].links.end() && link->second.isOpen) {
-            link->second.repliedAt = this->world.now;
+            link->second.inboundAt = this->world.now;
         }
     };
     links.tick = [] {};
--- a/src/node/tests/node_world.h
+++ b/src/node/tests/node_world.h
@@ -15,7 +15,8 @@
     bool isOpen = false; ///< Whether the node that opened it takes it for open.
     bool isOpenAtPeer = false; ///< Whether the other node takes it for open.
     TimePoint dialedAt; ///< Time of the last attempt to open it.
-    TimePoint repliedAt; ///< When the node that opened it last received something.
+    TimePoint repliedAt; ///< When the node that opened it last received something on it.
+    TimePoint inboundAt; ///< When that node last received something on the other node's own link.
     TimePoint requestedAt; ///< When the other node last received something.
     std::deque<std::function<void()>> heldRequests; ///< Deliveries to the other node that a cut holds up.
     std::deque<std::function<void()>> heldReplies; ///< Deliveries to the node that opened it that a cut holds up.
