--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -252,6 +252,7 @@
             worker.ticker.cancel()
             worker.beater.cancel()
             worker.http.stop()
+            worker.proxy.stop()
         self.store.http.stop()
         if os.environ.get("KEEP"):
             self.note("kept", folder=self.folder)
--- a/review/standins-2/worker.py
+++ b/review/standins-2/worker.py
@@ -5,7 +5,7 @@
 import random
 import time
 
-from wire import HttpServer
+from wire import HttpServer, Proxy
 
 HEARTBEAT = 1.5
 HOLD_MAX_MS = 1000
@@ -30,6 +30,11 @@
         self.beats = 0
         self.state = "ready"
         self.changed = asyncio.Event()
+        self.proxy = None  # Between the machines of the system and the worker.
+
+    @property
+    def address(self):
+        return self.proxy.address
 
     async def start(self):
         """Begins a new life."""
@@ -40,10 +45,12 @@
         self.lease_until = 0.0
         self.state = "ready"
         await self.http.start()
+        if self.proxy is None:
+            self.proxy = await Proxy(self.http.port).start()
         self.is_up = True
         self.ticker = asyncio.create_task(self.tick())
         self.beater = asyncio.create_task(self.beat())
-        self.world.note("worker-up", worker=self.id, address=self.http.address, zone=self.zone)
+        self.world.note("worker-up", worker=self.id, address=self.address, zone=self.zone)
 
     async def crash(self, seconds):
         """The process is lost; another life begins after a while. The registration of the former one lapses by itself."""
@@ -65,6 +72,14 @@
         await asyncio.sleep(seconds)
         await self.start()
 
+    async def cut_off(self, seconds):
+        """A partition from all machines of the system; the worker runs on, and reaches the store."""
+        self.world.note("worker-cut", worker=self.id, running=[f"{run.task}#{run.number}" for run in self.runs.values()])
+        self.proxy.cut()
+        await asyncio.sleep(seconds)
+        self.proxy.heal()
+        self.world.note("worker-healed", worker=self.id)
+
     def clock_ms(self):
         return int((time.monotonic() - self.clock_base) * 1000)
 
@@ -73,7 +88,7 @@
 
     async def register(self):
         self.beats += 1
-        entry = {"service": self.world.service, "address": self.http.address, "zone": self.zone, "version": "1", "slots": 8,
+        entry = {"service": self.world.service, "address": self.address, "zone": self.zone, "version": "1", "slots": 8,
                  "state": self.state, "cold-left-ms": 0, "seq-no": self.beats, "capacity": self.capacity,
                  "labels": ["kind-a", self.rack]}
         value = base64.b64encode(json.dumps(entry).encode()).decode()
