--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -131,7 +131,7 @@
         self.capacity = capacity or {"cpu": 16000, "mem-mb": 65536, "gpu": 0}
         self.store = Store()
         self.jobs, self.tasks, self.broken = {}, set(), []
-        self.starts, self.ends, self.noted = [], [], []
+        self.starts, self.ends, self.noted, self.lost = [], [], [], []
         self.instances = [Instance(self, number + 1, zone) for zone in zones for number in range(instances)]
         count = workers if isinstance(workers, dict) else {zone: workers for zone in zones}
         self.workers = [Worker(self, zone, f"r-{zone}-{number // 6}", self.capacity, guards)
@@ -194,6 +194,7 @@
 
     def on_lost(self, worker, run):
         self.note("run-lost", worker=worker.id, task=run.task, run=run.number)
+        self.lost.append(run.task)
 
     def on_noted(self, worker, row, has_lapsed):
         self.note("end-noted", worker=worker.id, number=row[0], task=row[1], run=row[2], how=row[3], lapsed=has_lapsed)
