Review stand-ins: ports outside the range of connections; report of part two entry by entry

Ports now come from below the range of connections, and an entry that isn't ready leaves its last line in record.txt. The check, its bounds and the disruption are as before.

--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -210,7 +210,12 @@
         for instance in self.instances:
             await instance.prepare()
             await instance.start()
-        return await self.until(lambda: self.all_ready(), 20)
+        if await self.until(lambda: self.all_ready(), 20):
+            return True
+        for instance in self.instances:
+            lines = (self.folder / f"{instance.name}.log").read_text().splitlines()
+            self.note("not-ready", instance=instance.name, exit_status=instance.process.returncode, last_line=lines[-1:])
+        return False
 
     async def all_ready(self):
         return all(await asyncio.gather(*(instance.is_ready() for instance in self.instances)))
--- a/review/standins-2/wire.py
+++ b/review/standins-2/wire.py
@@ -1,21 +1,26 @@
 """Minimal HTTP/1.1 server, client and TCP proxy on loopback, for the stand-ins of this review."""
 import asyncio
 import json
+import pathlib
+import random
 import socket
 
 HOST = "127.0.0.1"
 
 
 def free_ports(count):
-    """Returns ports that were free a moment ago."""
-    sockets = []
-    for _ in range(count):
-        listener = socket.socket()
-        listener.bind((HOST, 0))
-        sockets.append(listener)
-    ports = [listener.getsockname()[1] for listener in sockets]
-    for listener in sockets:
-        listener.close()
+    """Returns free ports below the range that the system gives to connections, so that none takes them before the program listens."""
+    first = int(pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(10000, max(first, 11000))
+        with socket.socket() as listener:
+            try:
+                listener.bind((HOST, port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
