--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Prepares the stand-ins of review/11 to review/15: one Python module, which needs Python 3.11 and nothing but its standard library.
+# Prepares the stand-ins of review/11 to review/14: one Python module, which needs Python 3.11 and nothing but its standard library.
 set -e
 cd "$(dirname "$0")"
 python3 -c 'import sys; sys.exit(sys.version_info < (3, 11))' || { echo "review/build-3.sh: Python 3.11 or later is needed" >&2; exit 1; }
