--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -108,6 +108,30 @@
     return text.str();
 }
 
+std::size_t ChildProcess::peakMemoryBytes() const
+{
+    constexpr std::string_view Field = "VmHWM:";
+    constexpr std::size_t Kibibyte = 1024;
+    std::ifstream status("/proc/" + std::to_string(this->pid) + "/status");
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with(Field)) {
+            return std::stoul(line.substr(Field.size())) * Kibibyte;
+        }
+    }
+    return 0;
+}
+
+std::size_t ChildProcess::openSocketCount() const
+{
+    std::size_t count = 0;
+    std::error_code error;
+    for (const auto &entry : std::filesystem::directory_iterator("/proc/" + std::to_string(this->pid) + "/fd", error)) {
+        const std::string target = std::filesystem::read_symlink(entry.path(), error).string();
+        count += target.starts_with("socket:") || target.starts_with("pipe:") ? 1 : 0;
+    }
+    return count;
+}
+
 int runToExit(ChildCommand command)
 {
     ChildProcess process(std::move(command));
--- a/tests/process/child_process.h
+++ b/tests/process/child_process.h
@@ -4,6 +4,7 @@
 #include <sys/types.h>
 
 #include <chrono>
+#include <cstddef>
 #include <filesystem>
 #include <optional>
 #include <string>
@@ -53,6 +54,12 @@
     /** @return What it has written so far. */
     std::string output() const;
 
+    /** @return Largest resident size so far in bytes; 0 if the process has ended. */
+    std::size_t peakMemoryBytes() const;
+
+    /** @return Number of its open sockets and pipes; 0 if the process has ended. */
+    std::size_t openSocketCount() const;
+
 private:
     /** Take note of the end, if it has come. */
     void poll();
