Trailers and headers of chunks have a limit

What callers saw: a process was ended for its memory; callers connected to it got no answer.

Cause: Beast's parser leaves the header of a chunk, with its extension, and the trailers with its caller until they are complete, and its limits are for the header and the body only. The connection's buffer kept all of it until the timeout of the body.

Change: what is left in the buffer of an unfinished body is limited by HttpLimits::maxTrailerBytes (16 KiB); beyond it the request is answered 431 and the connection is closed.

--- a/src/caller/error_document.cpp
+++ b/src/caller/error_document.cpp
@@ -50,6 +50,8 @@
     RefusalRow{HttpRefusal::Malformed, http::status::bad_request, ErrorCode::BadInput, "the request is not well-formed HTTP/1.1", false},
     RefusalRow{HttpRefusal::HeaderTooLarge, http::status::request_header_fields_too_large, ErrorCode::BadInput,
                "the request's header is too long", false},
+    RefusalRow{HttpRefusal::TrailersTooLarge, http::status::request_header_fields_too_large, ErrorCode::BadInput,
+               "the trailers or a chunk's header are too long", false},
     RefusalRow{HttpRefusal::BodyTooLarge, http::status::payload_too_large, ErrorCode::BadInput, "the request's body is too long", false},
     RefusalRow{HttpRefusal::HeaderTimeout, http::status::request_timeout, ErrorCode::DeadlineExceeded,
                "the request's header did not come in time", false},
@@ -71,6 +73,8 @@
     switch (refusal) {
     case HttpRefusal::HeaderTooLarge:
         return "; the limit is " + std::to_string(limits.maxHeaderBytes) + " bytes";
+    case HttpRefusal::TrailersTooLarge:
+        return "; the limit is " + std::to_string(limits.maxTrailerBytes) + " bytes";
     case HttpRefusal::BodyTooLarge:
         return "; the limit is " + std::to_string(limits.maxBodyBytes) + " bytes";
     case HttpRefusal::HeaderTimeout:
--- a/src/caller/http_session.h
+++ b/src/caller/http_session.h
@@ -170,6 +170,11 @@
             this->closeConnection();
             return;
         }
+        // The parser leaves the header of a chunk and the trailers in the buffer until they are complete.
+        if (this->phase == Phase::Body && this->buffer.size() > this->shared->limits.maxTrailerBytes) {
+            this->refuse(HttpRefusal::TrailersTooLarge);
+            return;
+        }
         this->startRead();
     }
 
--- a/src/caller/http_type.h
+++ b/src/caller/http_type.h
@@ -19,6 +19,7 @@
 struct HttpLimits {
     std::uint32_t maxHeaderBytes = 8 * 1024; ///< Longest header, including the request line.
     std::uint64_t maxBodyBytes = 8UL * 1024 * 1024; ///< Longest request body.
+    std::uint32_t maxTrailerBytes = 16 * 1024; ///< Longest trailers of a body in chunks, and longest header of a chunk.
     std::size_t maxConnections = 4096; ///< Largest number of open connections.
     std::size_t maxConnectionsPerAddress = 4096; ///< Largest number of open connections from one remote IP address.
     double maxRequestRatePerAddress = 0; ///< Requests per second from one remote IP address; 0 for no limit.
@@ -54,6 +55,7 @@
 enum class HttpRefusal : std::uint8_t {
     Malformed, ///< The request isn't well-formed HTTP/1.x.
     HeaderTooLarge, ///< The header exceeds HttpLimits::maxHeaderBytes.
+    TrailersTooLarge, ///< The trailers or the header of a chunk exceed HttpLimits::maxTrailerBytes.
     BodyTooLarge, ///< The body exceeds HttpLimits::maxBodyBytes.
     HeaderTimeout, ///< The header wasn't complete within HttpLimits::headerTimeout.
     BodyTimeout, ///< The body wasn't complete within HttpLimits::bodyTimeout.
--- a/src/caller/tests/limits_test.cpp
+++ b/src/caller/tests/limits_test.cpp
@@ -57,6 +57,29 @@
     BOOST_TEST(fits.call("POST /v1/jobs", std::string(1000, ' ')).result_int() == 400U);
 }
 
+// Guards against trailers, or a chunk's extension, that are kept without a limit until their end.
+BOOST_AUTO_TEST_CASE(LongTrailersAndChunkHeadersAreRefused)
+{
+    HttpLimits limits;
+    limits.maxTrailerBytes = 1000;
+    RunningService running(withLimits(limits));
+    const std::string opening = "POST /v1/jobs HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const char *kept : {"1\r\nx\r\n0\r\nX-Long: ", "1;x="}) {
+        Client endless(running.address());
+        endless.send(opening + kept + std::string(1100, 'a'));
+        checkLastRefusal(endless, 431, "bad-input");
+    }
+    Client fits(running.address());
+    // The limit is for each chunk; a body may have any number of them.
+    std::string chunks;
+    for (int chunk = 0; chunk < 20; ++chunk) {
+        chunks += "1;x=" + std::string(900, 'a') + "\r\n \r\n";
+    }
+    fits.send(opening + chunks + "0\r\nX-Long: " + std::string(900, 'a') + "\r\n\r\n");
+    BOOST_TEST(fits.reply().result_int() == 400U); // The body is no job.
+    BOOST_TEST(fits.call("GET /healthz").result_int() == 200U);
+}
+
 BOOST_AUTO_TEST_CASE(MalformedRequestsAreRefused)
 {
     RunningService running;
