Unfinished requests share a bound on their memory

What callers saw: a process was ended for its memory while many clients held unfinished bodies open; callers connected to it got no answer.

Cause: one request had limits, their sum had none. 4,096 connections with a body of 256 KiB each are 1 GiB, and a header of many short fields takes 24 times the bytes that were sent.

Change: HttpOccupancy sums up what the connections of a listener keep. A connection that awaits the answer to a call is never closed for this. Idle connections keep 0.5 KiB instead of 8 KiB and more.

Why it works: an ordinary request is complete within a few round trips, so that it is not the oldest one while a crowd stalls; a crowd that doesn't stall ends its requests.

--- a/src/caller/error_document.cpp
+++ b/src/caller/error_document.cpp
@@ -57,6 +57,8 @@
                "the request's header did not come in time", false},
     RefusalRow{HttpRefusal::BodyTimeout, http::status::request_timeout, ErrorCode::DeadlineExceeded,
                "the request's body did not come in time", false},
+    RefusalRow{HttpRefusal::OutOfMemory, http::status::service_unavailable, ErrorCode::Overloaded,
+               "too many requests are arriving here, and this one takes long", true},
     RefusalRow{HttpRefusal::TooManyConnections, http::status::service_unavailable, ErrorCode::Overloaded,
                "too many connections are open here", true},
     RefusalRow{HttpRefusal::TooManyConnectionsFromAddress, http::status::too_many_requests, ErrorCode::QuotaExceeded,
--- a/src/caller/http_session.h
+++ b/src/caller/http_session.h
@@ -13,6 +13,7 @@
 
 #include <array>
 #include <optional>
+#include <utility>
 
 namespace Tanagertally {
 
@@ -46,6 +47,9 @@
     ~HttpSession()
     {
         this->shared->calls.removeSession(this);
+        if (this->slot) {
+            this->shared->occupancy.remove(*this->slot);
+        }
     }
 
     /** Starts serving requests. Thread safety: any thread. */
@@ -79,6 +83,12 @@
         });
     }
 
+    /** Refuses the request that is arriving, or closes the connection, unless a call awaits its reply. Thread safety: any thread. */
+    void evict()
+    {
+        boost::asio::post(this->socket.get_executor(), [self = this->shared_from_this()] { self->onEvicted(); });
+    }
+
     /** Closes the connection in any phase. Thread safety: any thread. */
     void stop()
     {
@@ -88,8 +98,11 @@
 private:
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
-    static constexpr std::size_t ReadChunkBytes = 8192; ///< Largest number of bytes returned by one read.
-    static constexpr std::size_t MaxPipelinedBytes = 16384; ///< Bytes of later requests after which reading pauses.
+    static constexpr std::size_t FirstReadBytes = 512; ///< Size of the buffer of the outstanding read, which idle connections have too.
+    static constexpr std::size_t ReadChunkBytes = 8192; ///< Largest number of further bytes that are read at once.
+    static constexpr std::size_t ConnectionBytes = 4096; ///< Memory of a connection without any request or reply.
+    static constexpr std::size_t FieldBytes = 96; ///< Memory of a header field beside its name and value.
+    static constexpr std::size_t MaxPipelinedBytes = 2048; ///< Bytes of later requests after which reading pauses.
 
     /** Phase of the connection. */
     enum class Phase : std::uint8_t {
@@ -108,6 +121,7 @@
             this->closeConnection();
             return;
         }
+        this->slot = this->shared->occupancy.add(this->weak_from_this(), ConnectionBytes);
         boost::system::error_code ignored;
         this->socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
         this->socket.non_blocking(true, ignored);
@@ -130,12 +144,15 @@
             return;
         }
         this->setDeadline(this->shared->limits.idleTimeout);
+        this->beginActivity(HttpActivity::Idle);
         this->startRead();
     }
 
     void beginRequest()
     {
         this->phase = Phase::Header;
+        this->isTransferRecorded = false;
+        this->fieldBytes = 0;
         this->replyFormat = HttpReplyFormat();
         this->parser.emplace();
         this->parser->header_limit(this->shared->limits.maxHeaderBytes);
@@ -175,9 +192,81 @@
             this->refuse(HttpRefusal::TrailersTooLarge);
             return;
         }
+        this->recordTransfer();
         this->startRead();
     }
 
+    /** Records the memory of the request that is arriving. Most requests arrive at once and are never recorded. */
+    void recordTransfer()
+    {
+        if (this->phase == Phase::Body && this->fieldBytes == 0) {
+            for (const auto &field : this->parser->get()) {
+                this->fieldBytes += FieldBytes + field.name_string().size() + field.value().size();
+            }
+        }
+        if (std::exchange(this->isTransferRecorded, true)) {
+            this->resizeActivity();
+            return;
+        }
+        this->beginActivity(HttpActivity::Transfer);
+    }
+
+    /** Records what the connection does from now on, and evicts others if it holds too much memory for that. */
+    void beginActivity(HttpActivity activity)
+    {
+        this->releaseEmptyBuffer();
+        evictAll(this->shared->occupancy.begin(*this->slot, activity, this->retainedBytes()));
+    }
+
+    void resizeActivity()
+    {
+        evictAll(this->shared->occupancy.resize(*this->slot, this->retainedBytes()));
+    }
+
+    static void evictAll(const typename HttpOccupancy<HttpSession>::Sessions &sessions)
+    {
+        for (const auto &session : sessions) {
+            session->evict();
+        }
+    }
+
+    void releaseEmptyBuffer()
+    {
+        if (this->buffer.size() == 0) {
+            this->buffer.shrink_to_fit();
+        }
+    }
+
+    std::size_t retainedBytes() const
+    {
+        std::size_t bytes = ConnectionBytes + this->buffer.capacity();
+        if (this->parser) {
+            bytes += this->fieldBytes + this->parser->get().body().capacity();
+        }
+        if (this->response) {
+            bytes += this->response->body().capacity();
+        }
+        return bytes;
+    }
+
+    void onEvicted()
+    {
+        switch (this->phase) {
+        case Phase::Header:
+        case Phase::Body:
+            this->refuse(HttpRefusal::OutOfMemory);
+            return;
+        case Phase::Idle:
+        case Phase::Writing:
+        case Phase::Lingering:
+            this->closeConnection();
+            return;
+        case Phase::Waiting:
+        case Phase::Closed:
+            return;
+        }
+    }
+
     void onHeaderRead()
     {
         this->phase = Phase::Body;
@@ -233,6 +322,7 @@
         this->phase = Phase::Waiting;
         this->awaitedCall = id;
         this->timer.cancel();
+        this->beginActivity(HttpActivity::Call);
         this->shared->events.push(std::move(event));
         if (this->hasCallerClosed) {
             this->closeConnection();
@@ -253,6 +343,8 @@
 
     void refuse(HttpRefusal reason)
     {
+        this->parser.reset();
+        this->buffer.clear();
         HttpReply reply = this->shared->handler->refuse(reason);
         reply.closeAfter = true;
         this->send(std::move(reply), this->shared->unwrittenReplies.acquireToken());
@@ -266,6 +358,7 @@
         this->replyFormat.keepAlive = this->replyFormat.keepAlive && !isLast;
         this->response.emplace(toResponse(std::move(reply), this->replyFormat));
         this->setDeadline(this->shared->limits.writeTimeout);
+        this->beginActivity(HttpActivity::Transfer);
         boost::beast::http::async_write(
             this->socket, *this->response,
             [self = this->shared_from_this()](const boost::system::error_code &error, std::size_t) { self->onWritten(error); });
@@ -309,7 +402,7 @@
         }
         this->isReading = true;
         this->socket.async_read_some(
-            boost::asio::buffer(this->chunk),
+            boost::asio::buffer(this->firstBytes),
             [self = this->shared_from_this()](const boost::system::error_code &error, std::size_t bytes) { self->onRead(error, bytes); });
     }
 
@@ -317,7 +410,10 @@
     {
         this->isReading = false;
         const auto room = this->buffer.prepare(bytes);
-        this->buffer.commit(boost::asio::buffer_copy(room, boost::asio::buffer(this->chunk, bytes)));
+        this->buffer.commit(boost::asio::buffer_copy(room, boost::asio::buffer(this->firstBytes, bytes)));
+        if (!error && bytes == FirstReadBytes && this->phase != Phase::Waiting) {
+            this->readMore();
+        }
         if (error) {
             this->onCallerClosed();
             return;
@@ -331,10 +427,12 @@
             this->parse();
             return;
         case Phase::Waiting:
+            this->resizeActivity();
             this->startRead();
             return;
         case Phase::Lingering:
             this->buffer.clear();
+            this->releaseEmptyBuffer();
             this->startRead();
             return;
         case Phase::Writing:
@@ -343,6 +441,14 @@
         }
     }
 
+    /** Reads what has arrived beyond the outstanding read. The next read reports an error, if there is one. */
+    void readMore()
+    {
+        boost::system::error_code ignored;
+        const std::size_t bytes = this->socket.read_some(this->buffer.prepare(ReadChunkBytes), ignored);
+        this->buffer.commit(bytes);
+    }
+
     /** Closes the connection, unless a reply is being written: the caller may have closed only its sending side. */
     void onCallerClosed()
     {
@@ -402,9 +508,12 @@
     Phase phase = Phase::Idle; ///< Current phase.
     bool isReading = false; ///< Whether a read is outstanding.
     bool hasCallerClosed = false; ///< Whether the caller has closed its side.
-    std::array<char, ReadChunkBytes> chunk; ///< Target of the outstanding read; separate from `buffer`, which may be used meanwhile.
+    bool isTransferRecorded = false; ///< Whether the request that is arriving is recorded in HttpSharedState::occupancy.
+    std::optional<typename HttpOccupancy<HttpSession>::Slot> slot; ///< Set once the connection is started.
+    std::array<char, FirstReadBytes> firstBytes; ///< Target of the outstanding read; separate from `buffer`, which may be used meanwhile.
     boost::beast::flat_buffer buffer; ///< Bytes received and not yet parsed.
     std::optional<Parser> parser; ///< Parser of the current request.
+    std::size_t fieldBytes = 0; ///< Memory of the current request's header fields; 0 before they are counted.
     HttpReplyFormat replyFormat; ///< Format of the reply to the current request.
     std::optional<RequestId> awaitedCall; ///< Call whose reply is awaited.
     std::optional<HttpResponse> response; ///< Reply that is being written.
--- a/src/caller/http_shared_state.h
+++ b/src/caller/http_shared_state.h
@@ -4,6 +4,7 @@
 #include "caller/http_calls.h"
 #include "caller/http_handler.h"
 #include "caller/http_limiter.h"
+#include "caller/http_occupancy.h"
 
 #include <atomic>
 #include <memory>
@@ -21,6 +22,7 @@
     HttpLimits limits; ///< Limits of the listener.
     std::shared_ptr<HttpLimiter> limiter; ///< Admission of connections and requests.
     HttpCalls<HttpSession<Handler>> calls; ///< Open connections and calls that await a reply.
+    HttpOccupancy<HttpSession<Handler>> occupancy; ///< Memory of the connections, and which of them to close first.
     WorkCounter unwrittenReplies; ///< Replies not yet written to their connection.
     WorkCounter openConnections; ///< Connections not yet destroyed.
     std::atomic<bool> isStopping = false; ///< Whether each connection closes after its next reply.
@@ -31,6 +33,7 @@
         , events(eventQueue)
         , limits(listenerLimits)
         , limiter(std::make_shared<HttpLimiter>(listenerLimits))
+        , occupancy(listenerLimits.maxRetainedBytes)
     {
     }
 };
--- a/src/caller/http_type.h
+++ b/src/caller/http_type.h
@@ -20,6 +20,8 @@
     std::uint32_t maxHeaderBytes = 8 * 1024; ///< Longest header, including the request line.
     std::uint64_t maxBodyBytes = 8UL * 1024 * 1024; ///< Longest request body.
     std::uint32_t maxTrailerBytes = 16 * 1024; ///< Longest trailers of a body in chunks, and longest header of a chunk.
+    std::size_t maxRetainedBytes
+        = 256UL * 1024 * 1024; ///< Memory of all connections, for requests that arrive and replies that are written.
     std::size_t maxConnections = 4096; ///< Largest number of open connections.
     std::size_t maxConnectionsPerAddress = 4096; ///< Largest number of open connections from one remote IP address.
     double maxRequestRatePerAddress = 0; ///< Requests per second from one remote IP address; 0 for no limit.
@@ -59,6 +61,7 @@
     BodyTooLarge, ///< The body exceeds HttpLimits::maxBodyBytes.
     HeaderTimeout, ///< The header wasn't complete within HttpLimits::headerTimeout.
     BodyTimeout, ///< The body wasn't complete within HttpLimits::bodyTimeout.
+    OutOfMemory, ///< HttpLimits::maxRetainedBytes is exceeded, and this request began before the others.
     TooManyConnections, ///< Too many connections are open at this listener.
     TooManyConnectionsFromAddress, ///< Too many connections are open from this remote address.
     TooManyRequests, ///< The request rate of this remote address exceeds its limit.
--- a/src/caller/tests/limits_test.cpp
+++ b/src/caller/tests/limits_test.cpp
@@ -1,4 +1,5 @@
 #include "caller/http_limiter.h"
+#include "caller/http_occupancy.h"
 #include "caller/tests/service_fixture.h"
 
 #include <boost/test/unit_test.hpp>
@@ -80,6 +81,57 @@
     BOOST_TEST(fits.call("GET /healthz").result_int() == 200U);
 }
 
+// Guards against many unfinished requests, each within its limits, that fill the memory of a process.
+BOOST_AUTO_TEST_CASE(OldestUnfinishedRequestIsRefusedWhenMemoryIsShort)
+{
+    constexpr std::size_t BodyBytes = 100'000;
+    HttpLimits limits;
+    limits.maxRetainedBytes = 3 * BodyBytes;
+    RunningService running(withLimits(limits));
+    const std::string start = "POST /v1/jobs HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(BodyBytes) + "\r\n\r\n"
+                              + std::string(BodyBytes - 1, ' ');
+    Client oldest(running.address());
+    Client second(running.address());
+    Client latest(running.address());
+    for (Client *client : {&oldest, &second, &latest}) {
+        client->send(start);
+        std::this_thread::sleep_for(milliseconds(50)); // The requests have to begin in this order.
+    }
+    const Response refused = oldest.reply();
+    BOOST_TEST(refused.result_int() == 503U);
+    BOOST_TEST(refused["Retry-After"] == "1");
+    BOOST_TEST(oldest.isAtEnd());
+    for (Client *client : {&second, &latest}) {
+        client->send(" ");
+        BOOST_TEST(client->reply().result_int() == 400U); // The body is no job.
+    }
+}
+
+BOOST_AUTO_TEST_CASE(ConnectionsThatAwaitAReplyAreNotEvicted)
+{
+    struct Connection {
+    };
+    HttpOccupancy<Connection> occupancy(100);
+    const std::array connections{std::make_shared<Connection>(), std::make_shared<Connection>(), std::make_shared<Connection>()};
+    std::vector<HttpOccupancy<Connection>::Slot> slots;
+    for (const auto &connection : connections) {
+        slots.push_back(occupancy.add(connection, 1));
+    }
+    BOOST_TEST(occupancy.begin(slots[0], HttpActivity::Call, 90).empty());
+    BOOST_TEST(occupancy.begin(slots[1], HttpActivity::Transfer, 5).empty());
+    const auto evicted = occupancy.resize(slots[1], 50);
+    BOOST_REQUIRE(evicted.size() == 1U);
+    BOOST_TEST(evicted.front() == connections[1]);
+    BOOST_TEST(occupancy.bytes() == 91U);
+    // What is being evicted doesn't count again until it begins something else.
+    BOOST_TEST(occupancy.resize(slots[1], 60).empty());
+    BOOST_TEST(occupancy.begin(slots[1], HttpActivity::Idle, 1).empty());
+    for (const auto &slot : slots) {
+        occupancy.remove(slot);
+    }
+    BOOST_TEST(occupancy.bytes() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(MalformedRequestsAreRefused)
 {
     RunningService running;
