--- a/src/caller/http_limiter.cpp
+++ b/src/caller/http_limiter.cpp
@@ -6,7 +6,6 @@
 
 namespace {
 
-constexpr std::size_t MaxRefusedConnections = 64; ///< Connections over the limit that may be open at once to receive a refusal.
 constexpr std::size_t MaxBuckets = 10'000; ///< Number of buckets from which full ones are dropped, to bound memory.
 
 } // namespace
@@ -34,7 +33,7 @@
     std::optional<HttpRefusal> refusal;
     {
         const std::lock_guard lock(this->mutex);
-        if (this->connections >= this->limits.maxConnections + MaxRefusedConnections) {
+        if (this->connections >= this->limits.maxConnections + this->limits.maxRefusedConnections) {
             return std::nullopt;
         }
         std::size_t &fromAddress = this->connectionsByAddress[remote];
--- a/src/caller/http_occupancy.h
+++ b/src/caller/http_occupancy.h
@@ -1,4 +1,4 @@
-/** Memory and age of the connections of one listener, and which of them are closed when memory runs short. */
+/** Memory and age of the connections of one listener, and which of them are closed when either memory or connections run short. */
 #pragma once
 
 #include <cstddef>
@@ -36,6 +36,7 @@
         HttpActivity activity = HttpActivity::Idle; ///< Its activity; determines the list that it is in.
         bool isEvicted = false; ///< Whether it was returned for eviction since its activity last changed; then it counts no memory.
         std::size_t bytes = 0; ///< Memory that it holds.
+        std::uint64_t order = 0; ///< Increases with each change of activity.
     };
     using Entries = std::list<Entry>;
 
@@ -54,7 +55,7 @@
     {
         const std::lock_guard lock(this->mutex);
         Entries &entries = this->entriesOf(HttpActivity::Idle);
-        entries.push_back({std::move(session), HttpActivity::Idle, false, bytes});
+        entries.push_back({std::move(session), HttpActivity::Idle, false, bytes, ++this->lastOrder});
         this->totalBytes += bytes;
         return std::prev(entries.end());
     }
@@ -77,6 +78,7 @@
         slot->activity = activity;
         slot->isEvicted = false;
         slot->bytes = bytes;
+        slot->order = ++this->lastOrder;
         this->totalBytes += bytes;
         return this->extractExcess();
     }
@@ -91,6 +93,18 @@
         return this->extractExcess();
     }
 
+    /** @return The connection that began its activity first and awaits no reply, to be evicted; null if there is none. */
+    std::shared_ptr<Session> extractOldest()
+    {
+        const std::lock_guard lock(this->mutex);
+        const auto idle = this->findEvictable(HttpActivity::Idle);
+        const auto transfer = this->findEvictable(HttpActivity::Transfer);
+        if (!idle || !transfer) {
+            return this->evict(idle ? idle : transfer);
+        }
+        return this->evict((*idle)->order < (*transfer)->order ? idle : transfer);
+    }
+
     /** @return Memory that the connections hold, without those that are being evicted. */
     std::size_t bytes() const
     {
@@ -153,6 +167,7 @@
     Entries transfers; ///< Connections with a request or reply under way, in the order in which it began.
     Entries calls; ///< Connections that await a reply.
     std::size_t totalBytes = 0; ///< Sum of the memory of all connections that are not being evicted.
+    std::uint64_t lastOrder = 0; ///< Last order assigned.
 };
 
 } // namespace Tanagertally
--- a/src/caller/http_server.h
+++ b/src/caller/http_server.h
@@ -230,6 +230,12 @@
             if (!admission) {
                 return;
             }
+            if (admission->refusal == HttpRefusal::TooManyConnections && this->shared->limits.evictsConnections) {
+                if (const auto oldest = this->shared->occupancy.extractOldest()) {
+                    oldest->stopUnlessCalling();
+                    admission->refusal.reset();
+                }
+            }
             std::make_shared<HttpSession<Handler>>(this->shared, std::move(socket), std::move(*admission), remote.address())->start();
         }
     };
--- a/src/caller/http_session.h
+++ b/src/caller/http_session.h
@@ -89,6 +89,16 @@
         boost::asio::post(this->socket.get_executor(), [self = this->shared_from_this()] { self->onEvicted(); });
     }
 
+    /** Closes the connection unless a call awaits its reply. Thread safety: any thread. */
+    void stopUnlessCalling()
+    {
+        boost::asio::post(this->socket.get_executor(), [self = this->shared_from_this()] {
+            if (self->phase != Phase::Waiting) {
+                self->closeConnection();
+            }
+        });
+    }
+
     /** Closes the connection in any phase. Thread safety: any thread. */
     void stop()
     {
--- a/src/caller/http_type.h
+++ b/src/caller/http_type.h
@@ -23,6 +23,8 @@
     std::size_t maxRetainedBytes
         = 256UL * 1024 * 1024; ///< Memory of all connections, for requests that arrive and replies that are written.
     std::size_t maxConnections = 4096; ///< Largest number of open connections.
+    std::size_t maxRefusedConnections = 64; ///< Connections over the limit that may be open at once, to receive a refusal.
+    bool evictsConnections = false; ///< Whether a new connection over the limit takes the place of the one that began its activity first.
     std::size_t maxConnectionsPerAddress = 4096; ///< Largest number of open connections from one remote IP address.
     double maxRequestRatePerAddress = 0; ///< Requests per second from one remote IP address; 0 for no limit.
     double requestBurstPerAddress = 100; ///< Size of the token bucket: requests that one remote IP address may send at once.
--- a/src/caller/tests/limits_test.cpp
+++ b/src/caller/tests/limits_test.cpp
@@ -214,6 +214,30 @@
     BOOST_TEST(hasRoom);
 }
 
+// Guards against a crowd of connections that keeps all others out.
+BOOST_AUTO_TEST_CASE(NewConnectionTakesThePlaceOfTheOneWithoutACallForTheLongestTime)
+{
+    HttpLimits limits;
+    limits.maxConnections = 3;
+    limits.evictsConnections = true;
+    RunningService running(withLimits(limits));
+    const auto isHealthy = [](Client &client) { return client.call("GET /healthz").result_int() == 200U; };
+    Client stalled(running.address());
+    stalled.send("GET /heal");
+    std::this_thread::sleep_for(milliseconds(50)); // The connections have to begin what they do in this order.
+    Client silent(running.address());
+    std::this_thread::sleep_for(milliseconds(50));
+    Client active(running.address());
+    BOOST_TEST(isHealthy(active));
+    Client first(running.address());
+    BOOST_TEST(isHealthy(first));
+    BOOST_TEST(stalled.isAtEnd());
+    Client second(running.address());
+    BOOST_TEST(isHealthy(second));
+    BOOST_TEST(silent.isAtEnd());
+    BOOST_TEST(isHealthy(active));
+}
+
 BOOST_AUTO_TEST_CASE(RequestsAreLimitedByRate)
 {
     HttpLimits limits;
