A call keeps its connection alive

What callers saw: who pipelined 16 KiB or more of further requests had the connection reset while the first call was under way. The call had been passed on and could run; its reply was lost.

Cause: a connection is owned by its outstanding operations. During a call this is the read ahead, and beyond its limit there is none, so that the connection was destroyed.

Change: the list of calls owns the connections whose reply is awaited; abandon() drops the calls.

--- a/src/caller/http_calls.h
+++ b/src/caller/http_calls.h
@@ -52,7 +52,8 @@
 };
 
 /**
- * The open connections of a listener, and the calls whose reply one of them awaits.
+ * The open connections of a listener, and the calls whose reply one of them awaits. A call keeps its connection alive, as a connection
+ * from which nothing more is read ahead has no other owner meanwhile.
  * Thread safety: all methods may be called from any thread.
  */
 template<typename Session>
@@ -88,7 +89,7 @@
         return true;
     }
 
-    /** Removes a call. @return The connection that awaits its reply; null if the call isn't listed or the connection is destroyed. */
+    /** Removes a call. @return The connection that awaits its reply; null if the call isn't listed. */
     std::shared_ptr<Session> removeCall(RequestId id)
     {
         const std::lock_guard lock(this->mutex);
@@ -96,7 +97,7 @@
         if (found == this->sessionsByCall.end()) {
             return nullptr;
         }
-        std::shared_ptr<Session> session = found->second.lock();
+        std::shared_ptr<Session> session = std::move(found->second);
         this->sessionsByCall.erase(found);
         return session;
     }
@@ -104,10 +105,12 @@
     /** Removes all calls and accepts no more connections and calls. @return The open connections. */
     std::vector<std::shared_ptr<Session>> close()
     {
+        // Destroyed without the lock, as the destructor of a connection takes it.
+        std::unordered_map<RequestId, std::shared_ptr<Session>> dropped;
         {
             const std::lock_guard lock(this->mutex);
             this->isClosed = true;
-            this->sessionsByCall.clear();
+            dropped.swap(this->sessionsByCall);
         }
         return this->openSessions();
     }
@@ -129,7 +132,7 @@
     std::mutex mutex; ///< Guards all members below.
     bool isClosed = false; ///< Whether close() was called.
     std::unordered_map<const Session *, std::weak_ptr<Session>> sessions; ///< Open connections.
-    std::unordered_map<RequestId, std::weak_ptr<Session>> sessionsByCall; ///< Connection that awaits the reply to each call.
+    std::unordered_map<RequestId, std::shared_ptr<Session>> sessionsByCall; ///< Connection that awaits the reply to each call.
 };
 
 } // namespace Tanagertally
--- a/src/caller/http_server.h
+++ b/src/caller/http_server.h
@@ -101,12 +101,13 @@
     }
 
     /**
-     * Makes close() and the destructor do nothing, so that a process can exit without waiting for connections.
+     * Drops all calls, and makes close() and the destructor do nothing, so that a process can exit without waiting for connections.
      * @pre No thread runs the io_context any more. Thread safety: any thread.
      */
     void abandon()
     {
         this->isClosed = true;
+        this->listener->shared->calls.close();
     }
 
     /**
--- a/src/caller/tests/service_test.cpp
+++ b/src/caller/tests/service_test.cpp
@@ -57,6 +57,20 @@
     }
 }
 
+// Guards against a connection that is closed under its call: while as much is read ahead as is allowed, no read keeps it open.
+BOOST_AUTO_TEST_CASE(PipelinedRequestsBeyondWhatIsReadAheadAreAnswered)
+{
+    RunningService running;
+    Client client(running.address());
+    const std::string padding(1000, ' ');
+    for (int index = 0; index < 60; ++index) {
+        client.request("POST /v1/jobs", padding + R"({"tasks":[{"kind":"lookup","payload":)" + std::to_string(index) + "}]}");
+    }
+    for (int index = 0; index < 60; ++index) {
+        BOOST_TEST(Json::parse(client.reply().body())["tasks"][0]["output"] == index);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(CallerDisconnectedIsReportedOnceAndOnlyWithoutReply)
 {
     RunningService running;
