Connections at the peers' address are limited, and have to begin with a hello

What callers saw: not reported; clients reach only the callers' address on the users' platform.

Cause: nothing bounded the number of accepted connections, each with a read buffer of 64 KiB, and each could send a message of 16 MiB before it had said who it is, as the limit for first messages was lifted when the connection opened.

Change: the transport accepts an eighth of the process's sockets at most; for one more the oldest connection that isn't identified is closed. The first message is checked on the transport's thread: a hello lifts its limit of 4 KiB, anything else closes the connection.

Why it works: an instance says hello at once, so that it is identified within a round trip, while a crowd gives way to it.

ConnectionsWithoutHelloGiveWayToInstances, ConnectionWhoseFirstMessageIsNoHelloIsClosed and the other cases of PeerLinks pass.

--- a/src/node/node_peers.cpp
+++ b/src/node/node_peers.cpp
@@ -37,6 +37,10 @@
     handlers.onReply = [this](const InstanceName &peer, const std::string &bytes) { this->onReply(peer, bytes); };
     handlers.onRequest = [this](LinkHandle connection, const std::string &bytes) { this->onRequest(connection, bytes); };
     handlers.onInboundLinkLost = [this](LinkHandle connection) { this->onInboundLinkLost(connection); };
+    handlers.isHello = [](const std::string &bytes) {
+        const Result<LinkMessage> message = decodeLinkMessage(bytes);
+        return message.has_value() && std::holds_alternative<LinkHello>(message.value());
+    };
     return handlers;
 }
 
--- a/src/node/node_ports.h
+++ b/src/node/node_ports.h
@@ -33,6 +33,9 @@
     std::function<void(const InstanceName &, std::string)> onReply; ///< A message arrived on the connection to an instance.
     std::function<void(LinkHandle)> onInboundLinkLost; ///< An inbound connection was closed or is unresponsive.
     std::function<void(LinkHandle, std::string)> onRequest; ///< A message arrived on an inbound connection.
+    std::function<bool(const std::string &)> isHello
+        = [](const std::string &) { return true; }; ///< Whether the first message on an inbound
+                                                    ///< connection is valid. Called on any thread.
 };
 
 /** Functions of the adapters that a node calls. Each completion handler is called once, asynchronously, on the node's thread. */
--- a/src/node/peer_bus.cpp
+++ b/src/node/peer_bus.cpp
@@ -21,13 +21,14 @@
 } // namespace
 
 Result<std::unique_ptr<PeerBus>> PeerBus::create(boost::asio::io_context &io, const NetAddress &listen, std::string hello,
-                                                 NodeLinkHandlers handlers, std::function<TimePoint()> now)
+                                                 NodeLinkHandlers handlers, std::function<TimePoint()> now, const PeerBusLimits &limits)
 {
     std::unique_ptr<PeerBus> bus(new PeerBus(io, std::move(hello), std::move(handlers), std::move(now)));
     WebsocketTransportOptions options;
     options.listenAddress = listen.value;
     options.closeTimeout = CloseTimeout;
-    options.maxUnauthenticatedMessageBytes = options.maxMessageBytes;
+    options.maxMessageBytes = limits.maxMessageBytes;
+    options.maxAcceptedConnections = limits.maxInboundConnections;
     std::string error;
     bus->transport = WebsocketTransport::create(options, bus->transportHandlers(), error);
     if (!bus->transport) {
@@ -59,17 +60,47 @@
     };
     WebsocketTransportHandlers result;
     result.onOpened = [this, postToOwner](ConnectionHandle handle, ConnectionSide side) {
+        if (side == ConnectionSide::Acceptor) {
+            this->unidentified.insert(handle);
+        } else {
+            this->transport->raiseMessageLimit(handle);
+        }
         postToOwner([this, handle, side] { this->onOpened(handle, side); });
     };
     result.onMessage = [this, postToOwner](ConnectionHandle handle, const std::string &bytes) {
+        if (this->unidentified.contains(handle) && !this->identify(handle, bytes)) {
+            postToOwner([this, handle] { this->onClosed(handle); });
+            return;
+        }
         postToOwner([this, handle, bytes] { this->onReceived(handle, bytes); });
     };
     result.onControlFrame = [this, postToOwner](ConnectionHandle handle) { postToOwner([this, handle] { this->onActivity(handle); }); };
-    result.onClosed
-        = [this, postToOwner](ConnectionHandle handle, std::uint16_t) { postToOwner([this, handle] { this->onClosed(handle); }); };
+    result.onClosed = [this, postToOwner](ConnectionHandle handle, std::uint16_t) {
+        this->unidentified.erase(handle);
+        postToOwner([this, handle] { this->onClosed(handle); });
+    };
     return result;
 }
 
+void PeerBus::abort(ConnectionHandle handle)
+{
+    this->transport->post([this, handle] {
+        this->unidentified.erase(handle);
+        this->transport->abort(handle);
+    });
+}
+
+bool PeerBus::identify(ConnectionHandle handle, const std::string &bytes)
+{
+    this->unidentified.erase(handle);
+    if (!this->handlers.isHello(bytes)) {
+        this->transport->abort(handle);
+        return false;
+    }
+    this->transport->raiseMessageLimit(handle);
+    return true;
+}
+
 void PeerBus::setPeers(std::span<const InstanceRecord> records)
 {
     std::vector<InstanceName> lost;
@@ -81,7 +112,7 @@
             continue;
         }
         if (link->second.handle != 0) {
-            this->transport->post([transport = this->transport.get(), handle = link->second.handle] { transport->abort(handle); });
+            this->abort(link->second.handle);
         }
         if (link->second.isOpen) {
             lost.push_back(link->first);
@@ -189,7 +220,7 @@
     }
     for (const ConnectionHandle handle : silent) {
         this->inboundLinks.erase(handle);
-        this->transport->post([transport = this->transport.get(), handle] { transport->abort(handle); });
+        this->abort(handle);
         this->handlers.onInboundLinkLost(handle);
     }
 }
@@ -222,7 +253,7 @@
         boost::asio::post(this->io, [this, alive = this->isAlive, name, handle, address] {
             const auto found = *alive ? this->peers.find(name) : this->peers.end();
             if (found == this->peers.end() || found->second.handle != 0 || found->second.address.value != address) {
-                this->transport->post([transport = this->transport.get(), handle] { transport->abort(handle); });
+                this->abort(handle);
                 return;
             }
             found->second.handle = handle;
@@ -232,7 +263,6 @@
 
 void PeerBus::onOpened(ConnectionHandle handle, ConnectionSide side)
 {
-    this->transport->post([transport = this->transport.get(), handle] { transport->raiseMessageLimit(handle); });
     if (side == ConnectionSide::Acceptor) {
         this->recordInbound(this->inboundLinks[handle]);
         return;
@@ -298,7 +328,7 @@
 
 void PeerBus::abortLink(const InstanceName &name, Link &link, bool wasRefused)
 {
-    this->transport->post([transport = this->transport.get(), handle = link.handle] { transport->abort(handle); });
+    this->abort(link.handle);
     link.handle = 0;
     link.isOpen = false;
     this->handlers.onLinkLost(name, wasRefused);
--- a/src/node/peer_bus.h
+++ b/src/node/peer_bus.h
@@ -11,9 +11,16 @@
 
 #include <map>
 #include <span>
+#include <unordered_set>
 
 namespace Tanagertally::Cells {
 
+/** Limits of a PeerBus. */
+struct PeerBusLimits {
+    std::size_t maxInboundConnections = 4096; ///< Connections that others have opened.
+    std::size_t maxMessageBytes = 4UL << 20; ///< Largest message.
+};
+
 /**
  * Connections to the other instances. The transport has its own thread; everything else runs on the thread that runs `io`, and all methods
  * must be called there.
@@ -27,7 +34,8 @@
      * @return The bus, or Unavailable if the address can't be bound.
      */
     static Result<std::unique_ptr<PeerBus>> create(boost::asio::io_context &io, const NetAddress &listen, std::string hello,
-                                                   NodeLinkHandlers handlers, std::function<TimePoint()> now);
+                                                   NodeLinkHandlers handlers, std::function<TimePoint()> now,
+                                                   const PeerBusLimits &limits = {});
 
     /** Keep connections to exactly these instances: open missing ones and close all others. */
     void setPeers(std::span<const InstanceRecord> peers);
@@ -85,6 +93,8 @@
 
     PeerBus(boost::asio::io_context &io, std::string hello, NodeLinkHandlers handlers, std::function<TimePoint()> now);
     WebsocketTransportHandlers transportHandlers();
+    bool identify(ConnectionHandle handle, const std::string &bytes);
+    void abort(ConnectionHandle handle);
     void dial(const InstanceName &name, Link &link);
     void onOpened(ConnectionHandle handle, ConnectionSide side);
     void onReceived(ConnectionHandle handle, std::string bytes);
@@ -99,6 +109,7 @@
     boost::asio::io_context &io; ///< Event loop of the owner's thread.
     std::string hello; ///< First message on each outbound connection.
     NodeLinkHandlers handlers; ///< Callbacks to the owner.
+    std::unordered_set<ConnectionHandle> unidentified; ///< Inbound connections without a hello yet; used on the transport's thread only.
     std::unique_ptr<WebsocketTransport> transport;
     std::map<ConnectionHandle, InboundLink> inboundLinks; ///< Inbound connections.
     std::function<TimePoint()> now; ///< Clock that advances while the system is suspended.
--- a/src/node/process_budget.cpp
+++ b/src/node/process_budget.cpp
@@ -12,10 +12,12 @@
 // Each is a divisor of the memory or of the sockets.
 constexpr std::size_t CallerMemoryPart = 4;
 constexpr std::size_t BalancerMemoryPart = 32;
+constexpr std::size_t PeerMessagePart = 32;
 constexpr std::size_t PeerSocketPart = 8;
 constexpr std::size_t SmallSocketPart = 16; // The balancer's connections, and those that are refused at each address.
 
 constexpr std::size_t MaxBalancerConnections = 64; // A balancer, a scraper and a few operators.
+constexpr std::size_t MaxPeerMessageBytes = 4UL << 20; // Several times the longest job or advert.
 // Connections to the store and to endpoints: three eighths of the sockets.
 constexpr std::size_t OutboundNumerator = 3;
 constexpr std::size_t OutboundDenominator = 8;
@@ -28,6 +30,7 @@
     ProcessBudget budget;
     budget.callerBytes = resources.memoryBytes / CallerMemoryPart;
     budget.balancerBytes = resources.memoryBytes / BalancerMemoryPart;
+    budget.peerMessageBytes = std::min(resources.memoryBytes / PeerMessagePart, MaxPeerMessageBytes);
     budget.balancerConnections = std::min(sockets / SmallSocketPart, MaxBalancerConnections);
     budget.refusedConnections = budget.balancerConnections;
     budget.peerConnections = sockets / PeerSocketPart;
--- a/src/node/process_budget.h
+++ b/src/node/process_budget.h
@@ -1,4 +1,4 @@
-/** Division of the memory and descriptors of a process among everything that its clients can make it keep. */
+/** Division of the memory and descriptors of a process among everything that its clients and peers can make it keep. */
 #pragma once
 
 #include <cstddef>
@@ -15,6 +15,7 @@
 struct ProcessBudget {
     std::size_t callerBytes = 0; ///< Requests that arrive from callers, and replies to them.
     std::size_t balancerBytes = 0; ///< The same at the readiness address.
+    std::size_t peerMessageBytes = 0; ///< Largest message of another instance.
     std::size_t callerConnections = 0; ///< Connections of callers.
     std::size_t balancerConnections = 0; ///< Connections at the readiness address.
     std::size_t peerConnections = 0; ///< Connections that other instances have opened.
--- a/src/node/tests/peer_bus_test.cpp
+++ b/src/node/tests/peer_bus_test.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <list>
+
 using namespace Tanagertally;
 using namespace Tanagertally::Cells;
 using namespace std::chrono_literals;
@@ -31,7 +33,8 @@
     Duration suspendedFor{}; ///< Time that the steady clock did not count.
     std::unique_ptr<PeerBus> bus;
 
-    BusRecorder(boost::asio::io_context &context, const std::string &name)
+    BusRecorder(boost::asio::io_context &context, const std::string &name, const PeerBusLimits &limits = {},
+                const std::string &hello = "hello of ")
         : io(context)
         , record{InstanceName(name), Incarnation(1), freeAddress(), FailureDomain("d"), 1, false}
     {
@@ -44,10 +47,12 @@
             this->bus->links().reply(handle, "reply to " + bytes);
         };
         handlers.onReply = [this](const InstanceName &, const std::string &bytes) { this->replies.push_back(bytes); };
+        handlers.isHello = [](const std::string &bytes) { return bytes.starts_with("hello"); };
         handlers.onInboundLinkLost = [this](LinkHandle) { ++this->inboundLostCount; };
-        this->bus = PeerBus::create(this->io, this->record.peerAddress, "hello of " + name, handlers, [this] {
-                        return TimePoint(std::chrono::steady_clock::now().time_since_epoch()) + this->suspendedFor;
-                    }).value();
+        this->bus = PeerBus::create(
+                        this->io, this->record.peerAddress, hello + name, handlers,
+                        [this] { return TimePoint(std::chrono::steady_clock::now().time_since_epoch()) + this->suspendedFor; }, limits)
+                        .value();
     }
 
     ~BusRecorder()
@@ -155,6 +160,54 @@
     BOOST_TEST(this->runUntil([this] { return this->left.replies.size() == 2; })); // The first one is to the hello.
 }
 
+// Guards against connections at the peers' address that keep instances out, or take descriptors and memory without a bound.
+BOOST_FIXTURE_TEST_CASE(ConnectionsWithoutHelloGiveWayToInstances, TwoBuses)
+{
+    constexpr std::size_t MaxConnections = 4;
+    constexpr std::size_t Crowd = 20;
+    BusRecorder limited(this->io, "limited", {MaxConnections, 1UL << 20});
+    const auto isServed = [&](BusRecorder &bus, std::size_t replies) {
+        return this->runUntil([&] {
+            limited.bus->links().tick();
+            return bus.replies.size() == replies;
+        });
+    };
+    this->left.bus->links().setPeers(std::vector<InstanceRecord>{limited.record});
+    BOOST_TEST(isServed(this->left, 1));
+    const std::string &address = limited.record.peerAddress.value;
+    const auto port = static_cast<std::uint16_t>(std::stoul(address.substr(address.rfind(':') + 1)));
+    std::list<boost::asio::ip::tcp::socket> crowd;
+    for (std::size_t number = 0; number < Crowd; ++number) {
+        crowd.emplace_back(this->io).connect({boost::asio::ip::make_address("127.0.0.1"), port});
+    }
+    this->right.bus->links().setPeers(std::vector<InstanceRecord>{limited.record});
+    BOOST_TEST(isServed(this->right, 1));
+    BOOST_TEST(this->left.bus->links().send(limited.record.name, "question"));
+    BOOST_TEST(isServed(this->left, 2));
+    BOOST_TEST(this->left.lostCount == 0U);
+    std::size_t open = 0;
+    for (boost::asio::ip::tcp::socket &socket : crowd) {
+        char byte = 0;
+        boost::system::error_code error;
+        socket.non_blocking(true);
+        socket.read_some(boost::asio::buffer(&byte, 1), error);
+        open += error == boost::asio::error::would_block ? 1 : 0;
+    }
+    BOOST_TEST(open <= MaxConnections - 2);
+}
+
+BOOST_FIXTURE_TEST_CASE(ConnectionWhoseFirstMessageIsNoHelloIsClosed, TwoBuses)
+{
+    BusRecorder other(this->io, "other", {}, "no hello of ");
+    other.bus->links().setPeers(std::vector<InstanceRecord>{this->right.record});
+    BOOST_TEST(this->runUntil([&] {
+        other.bus->links().tick();
+        return other.lostCount > 0;
+    }));
+    BOOST_TEST(this->right.requests.empty());
+    this->link();
+}
+
 // Guards against a planned stop that outlives its grace, as it waits for the closing handshake of an instance that is suspended.
 BOOST_FIXTURE_TEST_CASE(ShutDownDoesNotWaitForAPeerThatIsSilent, TwoBuses)
 {
--- a/src/peer/websocket_transport.cpp
+++ b/src/peer/websocket_transport.cpp
@@ -5,7 +5,9 @@
 #include <websocketpp/config/asio_no_tls_client.hpp>
 #include <websocketpp/server.hpp>
 
+#include <algorithm>
 #include <atomic>
+#include <list>
 #include <optional>
 #include <thread>
 #include <unordered_map>
@@ -16,7 +18,7 @@
 namespace {
 
 constexpr std::size_t MaxHttpBodyBytes = 1024;
-constexpr std::size_t SocketReadBufferBytes = 65536;
+constexpr std::size_t SocketReadBufferBytes = 16384;
 constexpr std::uint16_t CloseGoingAway = 1001;
 constexpr auto ShutDownCheckInterval = std::chrono::milliseconds(2);
 
@@ -30,6 +32,12 @@
 using Connection = websocketpp::connection<TransportConfig>;
 using TcpEndpoint = boost::asio::ip::tcp::endpoint;
 
+/** A connection that was accepted and may be closed already. */
+struct AcceptedConnection {
+    std::weak_ptr<Connection> connection;
+    bool hasRaisedLimit = false; ///< Whether raiseMessageLimit() was called for it.
+};
+
 /** Parses a numeric "IP:port" or "[IP]:port". */
 std::optional<TcpEndpoint> parseAddress(const std::string &text)
 {
@@ -79,6 +87,7 @@
     Server server; ///< Accepts connections.
     Client client; ///< Opens connections.
     std::unordered_map<ConnectionHandle, Connection::ptr> connections; ///< Opening, open and closing connections.
+    std::list<AcceptedConnection> accepted; ///< Accepted connections in the order of acceptance, some of them closed.
     ConnectionHandle lastHandle = 0; ///< Last handle assigned.
     std::string boundAddress; ///< Address listened on, with the actual port.
     std::optional<boost::asio::executor_work_guard<boost::asio::io_context::executor_type>>
@@ -104,6 +113,8 @@
         }
         boost::system::error_code addressError;
         this->boundAddress = formatAddress(this->server.get_local_endpoint(addressError));
+        this->server.set_tcp_pre_init_handler(
+            [this](websocketpp::connection_hdl hdl) { this->limitAccepted(this->server.get_con_from_hdl(std::move(hdl))); });
         this->server.set_open_handler(
             [this](websocketpp::connection_hdl hdl) { this->onAccepted(this->server.get_con_from_hdl(std::move(hdl))); });
         this->server.start_accept(failure);
@@ -174,6 +185,25 @@
         }
     }
 
+    /** Counts an accepted connection before its handshake, and closes another one or itself if there are too many. */
+    void limitAccepted(const Connection::ptr &connection)
+    {
+        this->accepted.remove_if([](const AcceptedConnection &entry) { return entry.connection.expired(); });
+        if (this->accepted.size() >= this->options.maxAcceptedConnections) {
+            const auto oldest = std::find_if(this->accepted.begin(), this->accepted.end(),
+                                             [](const AcceptedConnection &entry) { return !entry.hasRaisedLimit; });
+            if (oldest == this->accepted.end()) {
+                closeSocket(connection);
+                return;
+            }
+            if (const Connection::ptr evicted = oldest->connection.lock()) {
+                closeSocket(evicted);
+            }
+            this->accepted.erase(oldest);
+        }
+        this->accepted.push_back({connection, false});
+    }
+
     void onAccepted(const Connection::ptr &connection)
     {
         if (this->isShuttingDown) {
@@ -339,6 +369,9 @@
     const auto found = this->impl->connections.find(handle);
     if (found != this->impl->connections.end()) {
         found->second->set_max_message_size(this->impl->options.maxMessageBytes);
+        for (AcceptedConnection &entry : this->impl->accepted) {
+            entry.hasRaisedLimit = entry.hasRaisedLimit || entry.connection.lock() == found->second;
+        }
     }
 }
 
--- a/src/peer/websocket_transport.h
+++ b/src/peer/websocket_transport.h
@@ -28,6 +28,8 @@
     std::string listenAddress; ///< Numeric "IP:port" on which connections are accepted; port 0 selects a free port.
     std::size_t maxUnauthenticatedMessageBytes = 4096; ///< Largest message accepted before raiseMessageLimit(), in bytes.
     std::size_t maxMessageBytes = 16UL << 20; ///< Largest message accepted after raiseMessageLimit(), in bytes.
+    std::size_t maxAcceptedConnections = 4096; ///< Accepted connections that may exist at once. For one more, the oldest one without a
+                                               ///< raised message limit is closed; if there is none, the new one is closed.
     std::chrono::milliseconds openTimeout = std::chrono::seconds(1); ///< Timeout of the HTTP upgrade handshake.
     std::chrono::milliseconds closeTimeout = std::chrono::milliseconds(500); ///< Timeout of the closing handshake.
 };
