Jobs are refused while the heap of the process is full

What callers saw: not reported. A leader that accepts stored jobs without an end is ended for its memory, and callers connected to it get no answer.

Cause: work is admitted by room on endpoints and never by room in the process; stored jobs have no admission at all.

Change: MemoryMeter measures the heap in use. A leader refuses a job that would take it beyond half of the memory that the settings give the process, with a time to come back, and the job is offered to other cells first. A job that it has accepted before, or that may have run, is never refused for this.

Why it works: the measurement counts all that is on the heap, whatever its kind, and what is admitted between two measurements is added.

--- a/src/cells/cell_job.cpp
+++ b/src/cells/cell_job.cpp
@@ -296,6 +296,19 @@
                                [this](std::uint32_t earlier) { return this->remainingTaskCounts[earlier] == 0; });
 }
 
+std::size_t estimateMemory(const JobSpec &spec)
+{
+    constexpr std::size_t BytesPerJob = 1024;
+    constexpr std::size_t BytesPerStep = sizeof(StepSpec) + sizeof(std::vector<TaskRecord>) + sizeof(Duration);
+    constexpr std::size_t BytesPerTask = sizeof(TaskRecord) + sizeof(TaskRef);
+    std::size_t bytes = BytesPerJob + (spec.payload ? spec.payload->size() : 0);
+    for (const StepSpec &step : spec.steps) {
+        bytes += BytesPerStep + step.after.size() * sizeof(step.after.front()) + step.requirement.size() + step.affinity.value.size();
+        bytes += step.count * BytesPerTask;
+    }
+    return bytes;
+}
+
 std::string validateSpec(const JobSpec &spec)
 {
     if (spec.steps.empty()) {
--- a/src/cells/cell_job.h
+++ b/src/cells/cell_job.h
@@ -162,6 +162,9 @@
     bool isRecovering = false; ///< Whether unblocked tasks become unaccounted instead of waiting.
 };
 
+/** @return Approximate memory of a job in bytes, while it is kept. Thread safety: any thread. */
+std::size_t estimateMemory(const JobSpec &spec);
+
 /** @return Estimated duration of the longest path through the steps of a valid job. Thread safety: any thread. */
 Duration estimateCriticalPath(const JobSpec &spec);
 
--- a/src/cells/cell_leader.h
+++ b/src/cells/cell_leader.h
@@ -32,6 +32,8 @@
         formerLeaderSeenAt{}; ///< When the first leader whose callers may not have returned gave its last sign of life; unset if none.
     /** Returns whether the leader named by the lead row may be replaced; called at most once, before the lead is claimed. */
     std::function<bool(const LeadRecord &)> canReplace = [](const LeadRecord &) { return true; };
+    /** Returns whether there is memory for another job of the given size in bytes, which then counts as taken. */
+    std::function<bool(std::size_t)> admitMemory = [](std::size_t) { return true; };
     /** Returns how long nothing was heard of the instance whose caller waits for a call. */
     std::function<Duration(CallId)> callerSilence = [](CallId) { return Duration{}; };
 };
--- a/src/cells/cell_leader_jobs.cpp
+++ b/src/cells/cell_leader_jobs.cpp
@@ -48,6 +48,10 @@
         this->refuse({&call, 1}, *job, refusal);
         return;
     }
+    if (!this->options.admitMemory(estimateMemory(job->spec))) {
+        this->refuse({&call, 1}, *job, NoMemoryReason, NoMemoryRetryAfter);
+        return;
+    }
     std::string row = encodeJob(job->spec, job->terms);
     if (const std::string fault = validateRowSize(job->spec, row, this->options.maxRowBytes); !fault.empty()) {
         this->refuse({&call, 1}, *job, fault);
@@ -72,6 +76,10 @@
         this->refuse({&call.call, 1}, *job, refusal);
         return;
     }
+    if (!mayHaveRun && !this->options.admitMemory(estimateMemory(job->spec))) {
+        this->refuse({&call.call, 1}, *job, NoMemoryReason, NoMemoryRetryAfter);
+        return;
+    }
     if (this->forecasts.empty()) {
         this->forecasts = this->forecastRoom(now);
     }
--- a/src/cells/job_type.h
+++ b/src/cells/job_type.h
@@ -134,6 +134,11 @@
 /** Refused without effect: the process that took the submission was suspended, so that the caller may have given up since. As the reason of
  * an unknown verdict: the job may have run before. */
 inline constexpr std::string_view SuspendedReason = "suspended";
+/** Refused without effect: the leader has no memory for another job. As the reason of an unknown verdict: the instance that the caller is
+ * connected to has none to pass the job on. */
+inline constexpr std::string_view NoMemoryReason = "no-memory";
+/** Time after which a job that was refused for lack of memory should be submitted again: the smallest one that callers can be told. */
+inline constexpr Duration NoMemoryRetryAfter = std::chrono::seconds(1);
 /** Verdict unknown: the caller stops waiting, and the job has not ended. */
 inline constexpr std::string_view NoAnswerInTimeReason = "no answer in time";
 /** Verdict unknown: a task of the job may have run, and the job can't end in time. */
--- a/src/cells/tests/cell_world.cpp
+++ b/src/cells/tests/cell_world.cpp
@@ -40,8 +40,9 @@
 {
     const std::size_t index = this->leaders.size();
     this->leaders.emplace_back();
-    const CellLeaderOptions options{CellName("cell"), InstanceName("i" + std::to_string(index)), Incarnation(index + 1), LeaseTerms(),
-                                    this->store.maxRowBytes};
+    CellLeaderOptions options{CellName("cell"), InstanceName("i" + std::to_string(index)), Incarnation(index + 1), LeaseTerms(),
+                              this->store.maxRowBytes};
+    options.admitMemory = [this](std::size_t bytes) { return this->admitMemory(bytes); };
     this->leaders.back().leader = std::make_unique<CellLeader>(options, this->now);
     this->registerEndpoints(index);
     return index;
--- a/src/cells/tests/cell_world.h
+++ b/src/cells/tests/cell_world.h
@@ -59,6 +59,7 @@
     std::function<RunPlan(const StartRun &)> planRun = [this](const StartRun &begun) {
         return RunPlan{this->runTime(begun), this->runOutcome()};
     }; ///< Behaviour of the next run.
+    std::function<bool(std::size_t)> admitMemory = [](std::size_t) { return true; }; ///< Whether leaders have memory for the next job.
     bool doRestartsEndLateOrders = false; ///< Whether an order that is executed late is lost if its endpoint restarts in the meantime.
     std::size_t startCount = 0; ///< Number of started runs.
     std::size_t transactionCount = 0; ///< Number of sent transactions.
--- a/src/cells/tests/leader_test.cpp
+++ b/src/cells/tests/leader_test.cpp
@@ -119,6 +119,48 @@
     BOOST_TEST(this->world.startCount == 2U);
 }
 
+// Guards against a leader that accepts jobs until its process is ended for its memory.
+BOOST_FIXTURE_TEST_CASE(JobsAreRefusedWithoutMemory, OneLeader)
+{
+    this->world.admitMemory = [](std::size_t bytes) {
+        BOOST_TEST(bytes > 0U);
+        return false;
+    };
+    for (const bool isBestEffort : {false, true}) {
+        const CallId call = this->world.submit(this->leader, jobNumber(isBestEffort ? 1 : 2), 1, isBestEffort);
+        this->world.advanceTime(1s);
+        const SubmitAnswer &answer = this->world.leaders[this->leader].submitAnswers.at(call);
+        BOOST_TEST((answer.verdict == SubmitVerdict::Refused));
+        BOOST_TEST(answer.reason == NoMemoryReason);
+        BOOST_TEST(answer.retryAfter.has_value());
+    }
+    BOOST_TEST(this->world.startCount == 0U);
+    BOOST_TEST(this->world.violations.empty());
+}
+
+// Guards against a caller who is told that its job was not accepted, though an earlier submission was.
+BOOST_FIXTURE_TEST_CASE(KnownJobIsAcceptedWithoutMemory, OneLeader)
+{
+    this->world.submit(this->leader, Job, 2);
+    this->world.advanceTime(50ms);
+    this->world.admitMemory = [](std::size_t) { return false; };
+    const CallId again = this->world.submit(this->leader, Job, 2);
+    BOOST_TEST(this->reachesState(Job, JobState::Done));
+    const CallId later = this->world.submit(this->leader, Job, 2);
+    BOOST_TEST(this->world.isAccepted(this->leader, again));
+    BOOST_TEST(this->world.isAccepted(this->leader, later));
+    BOOST_TEST(this->world.startCount == 2U);
+}
+
+// A job that may have run is not refused, as its caller would take it for one that has not.
+BOOST_FIXTURE_TEST_CASE(JobThatMayHaveRunIsTakenWithoutMemory, OneLeader)
+{
+    this->world.admitMemory = [](std::size_t) { return false; };
+    const CallId call = this->world.submit(this->leader, Job, 1, true, 2, true);
+    BOOST_TEST(this->world.advanceUntil([&] { return this->world.leaders[this->leader].submitAnswers.contains(call); }, 3s));
+    BOOST_TEST((this->world.leaders[this->leader].submitAnswers.at(call).verdict == SubmitVerdict::Ended));
+}
+
 BOOST_FIXTURE_TEST_CASE(JobSubmittedTwiceRunsOnce, OneLeader)
 {
     this->world.submit(this->leader, Job, 2);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -20,7 +20,7 @@
 /** @return Whether another cell may take a job that was refused for this reason. */
 bool concernsOneCellOnly(std::string_view refusal)
 {
-    constexpr std::array Reasons = {NotLeadingReason, NoEndpointReason, OverloadedReason, EvacuatedReason, SuspendedReason};
+    constexpr std::array Reasons = {NotLeadingReason, NoEndpointReason, OverloadedReason, EvacuatedReason, SuspendedReason, NoMemoryReason};
     return std::ranges::find(Reasons, refusal) != Reasons.end();
 }
 
@@ -31,6 +31,7 @@
     , ports(std::move(nodePorts))
     , startedAt(this->ports.now())
     , suspensionWatch(this->startedAt)
+    , memory(this->options.maxHeapBytes)
 {
 }
 
@@ -81,6 +82,10 @@
 {
     const TimePoint now = this->ports.now();
     this->detectSuspension(now);
+    if (!this->memory.admitTransient(now, estimateMemory(spec))) {
+        this->answerWithoutMemory(call, id, spec);
+        return;
+    }
     const CallId ownCall(++this->lastCall);
     PendingCall &pending = this->calls[ownCall];
     pending.kind = PendingCall::Kind::Submission;
@@ -92,6 +97,15 @@
     this->submitToCell(ownCall, pending);
 }
 
+void Node::answerWithoutMemory(CallId call, const JobId &id, const JobSpec &spec)
+{
+    // An earlier submission of a stored job may have been accepted, which only its leader knows.
+    const SubmitVerdict verdict = spec.isBestEffort ? SubmitVerdict::Refused : SubmitVerdict::Unknown;
+    this->log("submission-answered",
+              {{"job", id.value}, {"verdict", spec.isBestEffort ? "refused" : "unknown"}, {"reason", std::string(NoMemoryReason)}});
+    this->ports.answerSubmission(call, {verdict, std::string(NoMemoryReason), NoMemoryRetryAfter, {}});
+}
+
 void Node::submitQuestion(CallId call, JobId id, JobQuestion question, TimePoint deadline)
 {
     const CallId ownCall(++this->lastCall);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -5,6 +5,7 @@
 #include "node/cell_layout.h"
 #include "node/evacuation_type.h"
 #include "node/leadership.h"
+#include "node/memory_meter.h"
 #include "node/node_ports.h"
 #include "node/suspension_watch.h"
 
@@ -22,6 +23,7 @@
     Duration callReserve = std::chrono::milliseconds(100); ///< A call is answered this long before its deadline, as unknown if need be.
     Duration evacuationBound{}; ///< Time after an operator's request in which endpoints of the domain may still start tasks; 0 for none.
     std::size_t maxRowBytes = std::numeric_limits<std::size_t>::max(); ///< Largest value of a row that the store accepts.
+    std::size_t maxHeapBytes = std::numeric_limits<std::size_t>::max(); ///< Heap in use up to which jobs are taken.
 };
 
 /**
@@ -167,6 +169,7 @@
 
     // node.cpp: calls.
     void submitToCell(CallId call, PendingCall &pending);
+    void answerWithoutMemory(CallId call, const JobId &id, const JobSpec &spec);
     void withdraw(CallId call, const PendingCall &pending);
     void sendQuestion(CallId call, PendingCall &pending);
     Duration patienceOf(const PendingCall &pending) const; ///< @return How long the caller still waits.
@@ -276,6 +279,7 @@
     std::map<LinkHandle, InstanceName> inboundPeers; ///< Instances by their inbound connection.
     TimePoint startedAt; ///< Time of construction.
     SuspensionWatch suspensionWatch; ///< Tells whether what this process reads may be old.
+    MemoryMeter memory; ///< Tells whether there is memory for another job.
     TimePoint nextHeartbeatAt; ///< Time of the next write of this instance's row.
     TimePoint nextMemberReadAt; ///< Time of the next read of the instances' rows.
     TimePoint nextLayoutReadAt; ///< Time of the next read of the layouts, until they are complete.
--- a/src/node/node_leads.cpp
+++ b/src/node/node_leads.cpp
@@ -88,6 +88,7 @@
                                     this->options.maxRowBytes};
     leaderOptions.formerLeaderSeenAt = this->cells.at(cell).lostAt;
     leaderOptions.canReplace = [this, cell](const LeadRecord &lead) { return this->canReplace(cell, lead); };
+    leaderOptions.admitMemory = [this](std::size_t bytes) { return this->memory.admit(this->ports.now(), bytes); };
     leaderOptions.callerSilence = [this](CallId call) { return this->callerSilence(call); };
     entry.leader = std::make_unique<CellLeader>(std::move(leaderOptions), this->ports.now());
     entry.leader->setEvacuated(this->ports.now(), this->startLimitOf(cell));
--- a/src/node/process_budget.cpp
+++ b/src/node/process_budget.cpp
@@ -12,6 +12,7 @@
 // Each is a divisor of the memory or of the sockets.
 constexpr std::size_t CallerMemoryPart = 4;
 constexpr std::size_t BalancerMemoryPart = 32;
+constexpr std::size_t WorkMemoryPart = 2;
 constexpr std::size_t PeerMessagePart = 32;
 constexpr std::size_t PeerSocketPart = 8;
 constexpr std::size_t SmallSocketPart = 16; // The balancer's connections, and those that are refused at each address.
@@ -30,6 +31,7 @@
     ProcessBudget budget;
     budget.callerBytes = resources.memoryBytes / CallerMemoryPart;
     budget.balancerBytes = resources.memoryBytes / BalancerMemoryPart;
+    budget.workBytes = resources.memoryBytes / WorkMemoryPart;
     budget.peerMessageBytes = std::min(resources.memoryBytes / PeerMessagePart, MaxPeerMessageBytes);
     budget.balancerConnections = std::min(sockets / SmallSocketPart, MaxBalancerConnections);
     budget.refusedConnections = budget.balancerConnections;
--- a/src/node/process_budget.h
+++ b/src/node/process_budget.h
@@ -15,6 +15,7 @@
 struct ProcessBudget {
     std::size_t callerBytes = 0; ///< Requests that arrive from callers, and replies to them.
     std::size_t balancerBytes = 0; ///< The same at the readiness address.
+    std::size_t workBytes = 0; ///< Heap in use up to which new jobs are taken.
     std::size_t peerMessageBytes = 0; ///< Largest message of another instance.
     std::size_t callerConnections = 0; ///< Connections of callers.
     std::size_t balancerConnections = 0; ///< Connections at the readiness address.
