Settings for the memory of callers' requests and for trailers

The two limits that tanagertallyd has since the shared bound of unfinished requests get settings: limits.callerMemory (1,024 MiB) and limits.callerTrailerBytes (16 KiB).

--- a/src/daemon/daemon_adapters.cpp
+++ b/src/daemon/daemon_adapters.cpp
@@ -53,6 +53,8 @@
     options.limits.maxBodyBytes = settings.limits.callerRequestBytes;
     options.limits.maxConnections = settings.limits.callerConnections;
     options.limits.maxConnectionsPerAddress = settings.limits.callerConnectionsPerAddress;
+    options.limits.maxRetainedBytes = settings.limits.callerMemory;
+    options.limits.maxTrailerBytes = settings.limits.callerTrailerBytes;
     options.limits.idleTimeout = settings.limits.callerIdleTimeout;
     return options;
 }
--- a/src/daemon/settings_table.cpp
+++ b/src/daemon/settings_table.cpp
@@ -196,6 +196,25 @@
         .description = "Maximum length of the body of a caller's request.",
         .set = [](Settings &settings, std::int64_t number) { settings.limits.callerRequestBytes = static_cast<std::uint64_t>(number); },
     },
+    {
+        .path = "limits.callerMemory",
+        .type = SettingType::Size,
+        .range = {1 * MiB, 1024 * 1024 * MiB},
+        .presence = Presence::Defaulted,
+        .defaultText = "1024MiB",
+        .description = "Maximum memory of all callers' requests that are arriving and of all replies that are not read yet; beyond it the "
+                       "request that began first is refused.",
+        .set = [](Settings &settings, std::int64_t number) { settings.limits.callerMemory = static_cast<std::uint64_t>(number); },
+    },
+    {
+        .path = "limits.callerTrailerBytes",
+        .type = SettingType::Size,
+        .range = {1 * KiB, 1 * MiB},
+        .presence = Presence::Defaulted,
+        .defaultText = "16KiB",
+        .description = "Maximum length of the trailers of a caller's request, and of the header of each chunk of its body.",
+        .set = [](Settings &settings, std::int64_t number) { settings.limits.callerTrailerBytes = static_cast<std::uint32_t>(number); },
+    },
     {
         .path = "limits.callerIdleTimeout",
         .type = SettingType::TimeSpan,
--- a/src/daemon/settings_type.h
+++ b/src/daemon/settings_type.h
@@ -40,6 +40,8 @@
     std::uint64_t callerConnections = 0; ///< Maximum number of open connections of callers.
     std::uint64_t callerConnectionsPerAddress = 0; ///< Maximum number of open connections of callers from one remote IP address.
     std::uint64_t callerRequestBytes = 0; ///< Maximum length of the body of a caller's request.
+    std::uint64_t callerMemory = 0; ///< Maximum memory of requests that are arriving and of replies that are not read yet.
+    std::uint32_t callerTrailerBytes = 0; ///< Maximum length of a request's trailers and of the header of a chunk.
     Duration callerIdleTimeout{}; ///< Time without a request after which a caller's connection is closed.
     Duration peerSilenceTimeout{}; ///< Time without received data after which a peer link is considered broken.
 };
