--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -504,6 +504,11 @@
     this->log("submission-malformed", {{"job", id.value}, {"reason", std::string(reason)}});
 }
 
+void Node::logRefusedRequest(std::string_view reason) const
+{
+    this->log("request-refused", {{"reason", std::string(reason)}});
+}
+
 void Node::logUnknownQueue(std::string_view host, std::string_view path) const
 {
     this->log("queue-unknown", {{"host", std::string(host)},
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -86,6 +86,9 @@
     /** Log a submission that was refused before it reached the node. */
     void logRefusal(const JobId &id, std::string_view reason) const;
 
+    /** Log a request that was refused before it was read as a whole. */
+    void logRefusedRequest(std::string_view reason) const;
+
     /** Log a request that was refused because the configuration in force has no queue for it. */
     void logUnknownQueue(std::string_view host, std::string_view path) const;
 
