--- a/src/daemon/settings_table.cpp
+++ b/src/daemon/settings_table.cpp
@@ -199,7 +199,7 @@
     {
         .path = "limits.callerMemory",
         .type = SettingType::Size,
-        .range = {1 * MiB, 1024 * 1024 * MiB},
+        .range = {1 * MiB, 1'048'576 * MiB},
         .presence = Presence::Defaulted,
         .defaultText = "1024MiB",
         .description = "Maximum memory of all callers' requests that are arriving and of all replies that are not read yet; beyond it the "
