--- a/src/cells/fleet_type.h
+++ b/src/cells/fleet_type.h
@@ -40,8 +40,10 @@
 
 /** Fleet configuration as set by operators. */
 struct FleetConfig {
-    std::uint64_t version = 0; ///< Increases with each change; 0 means that there is no configuration.
+    std::uint64_t version = 0; ///< Version of its row in the store, which orders configurations; 0 means that there is none.
+    std::optional<std::uint64_t> operatorVersion; ///< Number that the operators gave it, for the log; unset if it can't be read.
     std::vector<QueueConfig> queues;
+    bool areQueuesComplete = true; ///< Whether each queue could be read. If not, an unknown one may exist.
     std::vector<ServiceConfig> services;
     CallerLimits limits;
 };
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -40,8 +40,10 @@
     if (config.version <= this->fleetConfig.version) {
         return false;
     }
-    this->log("config", {{"version", std::to_string(config.version)},
-                         {"former", std::to_string(this->fleetConfig.version)},
+    const auto numberOf = [](const FleetConfig &any) { return any.operatorVersion ? std::to_string(*any.operatorVersion) : "unknown"; };
+    this->log("config", {{"version", numberOf(config)},
+                         {"former", numberOf(this->fleetConfig)},
+                         {"row_version", std::to_string(config.version)},
                          {"queues", std::to_string(config.queues.size())}});
     const auto nameOf = [](const ServiceConfig &service) { return service.name; };
     const bool haveServicesChanged = !std::ranges::equal(config.services, this->fleetConfig.services, {}, nameOf, nameOf);
@@ -513,7 +515,8 @@
 {
     this->log("queue-unknown", {{"host", std::string(host)},
                                 {"path", std::string(path)},
-                                {"version", std::to_string(this->fleetConfig.version)},
+                                {"row_version", std::to_string(this->fleetConfig.version)},
+                                {"complete", this->fleetConfig.areQueuesComplete ? "yes" : "no"},
                                 {"advertised", std::to_string(this->advertisedConfigVersion)}});
 }
 
