A transfer is decided by the job's tasks and the room of single endpoints

Callers saw: an accepted job of a full cell had nothing running for as long as the cell was full, while three endpoints of another cell were empty.

Cause: chooseTransferTarget() compared the job with a summary of the other cell, in which any waiting work means that it is full. The same summaries moved jobs for a sum of small rooms, and kept small jobs from room that is too small for typical tasks. Jobs behind many that no cell takes were never offered, as the same 256 were looked at each second.

Change: while jobs are idle, the leader asks the others for the free room of each endpoint; a job moves where single endpoints have room for tasks of its next steps. Idle jobs take turns.

--- a/src/cells/cell_leader.h
+++ b/src/cells/cell_leader.h
@@ -107,6 +107,12 @@
     /** @return Stored jobs of which nothing has run for some seconds although tasks could start; empty between two looks at them. */
     std::vector<IdleJob> idleJobs(TimePoint now);
 
+    /** Has idleJobs() return jobs again soon. @pre idleJobs() returned them at `now`. */
+    void postponeTransfers(TimePoint now, std::span<const IdleJob> idle);
+
+    /** @return Endpoints that take tasks now, with their free resources; empty if the leader starts no tasks. */
+    std::vector<EndpointRoom> rooms(TimePoint now) const;
+
     /** Hands a job over to another cell, unless that has become impossible. @pre idleJobs() returned the job at `now`. */
     void transfer(TimePoint now, const JobId &id, const CellName &target);
 
--- a/src/cells/cell_transfer.cpp
+++ b/src/cells/cell_transfer.cpp
@@ -16,6 +16,7 @@
 constexpr Duration IdleTime = std::chrono::seconds(2);
 constexpr Duration IdleLookInterval = std::chrono::milliseconds(250);
 constexpr std::size_t MaxIdleJobs = 64; // Bounds the time of a look.
+constexpr Duration PostponedLookInterval = std::chrono::milliseconds(50); // Leaders of other cells answer within some milliseconds.
 constexpr Duration RepeatedOfferInterval
     = std::chrono::seconds(1); // Between looks at a job that no other cell takes; leaves others a turn.
 constexpr std::size_t MaxTransfersPerTransaction = 6; // Six entries each; the platform accepts 100 entries per transaction.
@@ -68,17 +69,28 @@
     }
     this->nextIdleLookAt = now + IdleLookInterval;
     std::erase_if(this->transferableAt, [this](const auto &entry) { return !this->jobs.contains(entry.first); });
+    std::vector<std::pair<TimePoint, std::shared_ptr<CellJob>>> due;
     for (const auto &[id, job] : this->jobs) {
         if (job->spec.isBestEffort || job->placedTasks > 0 || isFinal(job->state)) {
             this->transferableAt.erase(id);
             continue;
         }
-        TimePoint &offeredAt = this->transferableAt.try_emplace(id, now + IdleTime).first->second;
-        if (now < offeredAt || idle.size() == MaxIdleJobs || !this->canBeTransferred(now, *job)) {
+        const TimePoint offeredAt = this->transferableAt.try_emplace(id, now + IdleTime).first->second;
+        if (now >= offeredAt) {
+            due.emplace_back(offeredAt, job);
+        }
+    }
+    // Each job gets its turn, however many there are that no other cell takes.
+    std::ranges::sort(due, {}, [](const auto &entry) { return entry.first; });
+    for (const auto &[offeredAt, job] : due) {
+        if (idle.size() == MaxIdleJobs) {
+            break;
+        }
+        if (!this->canBeTransferred(now, *job)) {
             continue;
         }
-        offeredAt = now + RepeatedOfferInterval;
-        IdleJob entry{job, job->startableSteps(), job->openSteps(), false};
+        this->transferableAt[job->id] = now + RepeatedOfferInterval;
+        IdleJob entry{job, job->startableSteps(), job->openSteps(), offeredAt, false};
         if (!entry.nextSteps.empty()) {
             entry.canRunHere = !this->evacuation && this->canRunOneOf(*job, entry.nextSteps);
             idle.push_back(std::move(entry));
@@ -87,6 +99,29 @@
     return idle;
 }
 
+void CellLeader::postponeTransfers(TimePoint now, std::span<const IdleJob> idle)
+{
+    this->nextIdleLookAt = now + PostponedLookInterval;
+    for (const IdleJob &entry : idle) {
+        this->transferableAt[entry.job->id] = entry.dueAt; // They keep their turn.
+    }
+}
+
+std::vector<EndpointRoom> CellLeader::rooms(TimePoint now) const
+{
+    std::vector<EndpointRoom> result;
+    if (!this->canGiveOrders(now) || this->evacuation) {
+        return result;
+    }
+    for (const auto &[name, endpoint] : this->endpoints) {
+        // A suspect endpoint may refuse a task at its last attempt.
+        if (this->canPlace(now, *endpoint) && !endpoint->health.isSuspect()) {
+            result.push_back({name, endpoint->freeResources()});
+        }
+    }
+    return result;
+}
+
 void CellLeader::transfer(TimePoint now, const JobId &id, const CellName &target)
 {
     const std::shared_ptr<CellJob> job = this->findJob(id);
--- a/src/cells/job_transfer.h
+++ b/src/cells/job_transfer.h
@@ -36,9 +36,16 @@
     std::shared_ptr<const CellJob> job;
     std::vector<std::uint32_t> nextSteps; ///< Numbers of the steps with tasks that could start; not empty.
     std::vector<std::uint32_t> openSteps; ///< Numbers of all steps that are not done.
+    TimePoint dueAt; ///< Since when the job has been due to be offered to other cells.
     bool canRunHere = false; ///< Whether an endpoint of the cell that accepts work could run a task of `nextSteps` if it had room.
 };
 
+/** Free resources of an endpoint that takes tasks. */
+struct EndpointRoom {
+    EndpointName endpoint;
+    Resources free;
+};
+
 /** @return Losses of which only the tasks of one job are kept; those of no such task are left out. Thread safety: any thread. */
 std::vector<EndpointLoss> lossesUnder(const std::vector<EndpointLoss> &losses, const JobId &job);
 
--- a/src/node/link_message.cpp
+++ b/src/node/link_message.cpp
@@ -96,6 +96,20 @@
     return Json::array({message.source.value, std::move(jobs)});
 }
 
+Json toJson(const LinkRoomQuery &message)
+{
+    return Json::array({message.cell.value});
+}
+
+Json toJson(const LinkRoomReply &message)
+{
+    Json rooms = Json::array();
+    for (const EndpointRoom &room : message.rooms) {
+        rooms.push_back(Json::array({room.endpoint.value, room.free.cpu, room.free.memoryMb, room.free.gpu}));
+    }
+    return Json::array({message.cell.value, std::move(rooms)});
+}
+
 CellAdvert advertFromJson(const Json &json)
 {
     CellAdvert advert;
@@ -196,10 +210,26 @@
     return message;
 }
 
+LinkMessage roomQueryFromJson(const Json &json)
+{
+    return LinkRoomQuery{CellName(json.at(0).get<std::string>())};
+}
+
+LinkMessage roomReplyFromJson(const Json &json)
+{
+    LinkRoomReply message{CellName(json.at(0).get<std::string>()), {}};
+    for (const Json &entry : json.at(1)) {
+        const Resources free{loadFromJson(entry.at(1), "free processor"), loadFromJson(entry.at(2), "free memory"),
+                             loadFromJson(entry.at(3), "free accelerators")};
+        message.rooms.push_back({EndpointName(entry.at(0).get<std::string>()), free});
+    }
+    return message;
+}
+
 /** Decoders, by the index of the alternative in LinkMessage. */
 constexpr LinkMessage (*Decoders[])(const Json &)
-    = {helloFromJson,    linkAdvertFromJson, submitFromJson,   submitReplyFromJson, jobQuestionFromJson,
-       jobReplyFromJson, withdrawFromJson,   transferFromJson, transferDoneFromJson};
+    = {helloFromJson,    linkAdvertFromJson, submitFromJson,       submitReplyFromJson, jobQuestionFromJson, jobReplyFromJson,
+       withdrawFromJson, transferFromJson,   transferDoneFromJson, roomQueryFromJson,   roomReplyFromJson};
 
 } // namespace
 
--- a/src/node/link_message.h
+++ b/src/node/link_message.h
@@ -86,9 +86,20 @@
     std::vector<JobId> jobs;
 };
 
+/** Asks the leader of a cell for the free room of its endpoints, which answers with LinkRoomReply. */
+struct LinkRoomQuery {
+    CellName cell;
+};
+
+/** Answer to LinkRoomQuery. */
+struct LinkRoomReply {
+    CellName cell;
+    std::vector<EndpointRoom> rooms;
+};
+
 /** Any message. The index of the alternative is the type number on the wire. */
 using LinkMessage = std::variant<LinkHello, LinkAdvert, LinkSubmit, LinkSubmitReply, LinkJobQuestion, LinkJobReply, LinkWithdraw,
-                                 LinkTransfer, LinkTransferDone>;
+                                 LinkTransfer, LinkTransferDone, LinkRoomQuery, LinkRoomReply>;
 
 /** @return The encoded message. Thread safety: any thread. */
 std::string encodeLinkMessage(const LinkMessage &message);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -8,6 +8,7 @@
 #include "node/memory_meter.h"
 #include "node/node_ports.h"
 #include "node/suspension_watch.h"
+#include "node/transfer_room.h"
 
 #include <deque>
 #include <limits>
@@ -157,6 +158,13 @@
         TimePoint changedAt; ///< Time when `count` last changed.
     };
 
+    /** Free room of the endpoints of a cell, as its leader last answered. */
+    struct CellRooms {
+        RoomByEndpoint rooms; ///< Less what was handed over since.
+        std::optional<TimePoint> askedAt; ///< Time of the last question.
+        std::optional<TimePoint> answeredAt; ///< Time of the last answer.
+    };
+
     /** A cell that this instance claims, leads or releases; the entry exists from claim() until its leader emits LeadEnded. */
     struct LedCell {
         std::unique_ptr<CellLeader> leader; ///< Created by claim().
@@ -203,6 +211,8 @@
     using EndpointsByCell = std::map<CellName, std::vector<const EndpointRecord *>>; ///< Valid until `endpoints` changes.
     void planTransfers(TimePoint now);
     EndpointsByCell endpointsByCell() const;
+    bool awaitsRooms(TimePoint now, const CellName &source, const EndpointsByCell &byCell);
+    void onRoomsAnswered(const CellName &cell, std::span<const EndpointRoom> rooms);
     std::optional<CellName> chooseTransferTarget(const CellName &source, const IdleJob &idle, const EndpointsByCell &byCell);
     void announceTransfers(const LinkTransfer &announcement);
     bool onTransfersAnnounced(const LinkTransfer &announcement); ///< @return Whether this instance leads the target.
@@ -272,6 +282,7 @@
     std::map<FailureDomain, DomainLayout> layouts; ///< Layouts of the failure domains, as far as known; they never change.
     std::map<FailureDomain, EndpointCount> endpointCounts; ///< Of domains for whose layout this instance is responsible.
     std::map<CellName, CellView> cells; ///< All cells of the domains in `layouts`.
+    std::map<CellName, CellRooms> roomsOfCells; ///< Free room of other cells' endpoints, for transfers; asked for while jobs are idle.
     std::map<CellName, LedCell> ledCells; ///< Cells that this instance leads or is taking the lead of.
     std::map<InstanceName, Member> members; ///< Other instances.
     std::map<CallId, PendingCall> calls; ///< Calls that await an answer, by this node's call id.
--- a/src/node/node_peers.cpp
+++ b/src/node/node_peers.cpp
@@ -200,8 +200,15 @@
                    },
                    [&](LinkTransfer &announcement) { this->onTransfersAnnounced(announcement); },
                    [&](LinkTransferDone &confirmation) { this->onTransfersConfirmed(confirmation); },
+                   [&](const LinkRoomQuery &query) {
+                       if (const auto ledCell = this->ledCells.find(query.cell); ledCell != this->ledCells.end()) {
+                           this->links.reply(
+                               connection, encodeLinkMessage(LinkRoomReply{query.cell, ledCell->second.leader->rooms(this->ports.now())}));
+                       }
+                   },
                    [&](LinkSubmitReply &) {},
                    [&](LinkJobReply &) {},
+                   [&](LinkRoomReply &) {},
                },
                message.value());
 }
@@ -287,6 +294,8 @@
         this->onSubmitReply(peer, *submit);
     } else if (const LinkJobReply *job = std::get_if<LinkJobReply>(&message.value())) {
         this->onJobAnswer(job->call, job->answer);
+    } else if (const LinkRoomReply *room = std::get_if<LinkRoomReply>(&message.value())) {
+        this->onRoomsAnswered(room->cell, room->rooms);
     }
 }
 
--- a/src/node/node_transfers.cpp
+++ b/src/node/node_transfers.cpp
@@ -8,6 +8,14 @@
 
 namespace Tanagertally::Cells {
 
+namespace {
+
+constexpr std::size_t MaxRoomQueries = 24; // Bounds the answers' bytes in a fleet of many cells, which then take turns.
+constexpr Duration MaxRoomAge = std::chrono::milliseconds(800); // Below the interval at which an idle job is looked at again.
+constexpr Duration RoomAnswerTimeout = std::chrono::milliseconds(300); // A leader that is up answers within some milliseconds.
+
+} // namespace
+
 void Node::planTransfers(TimePoint now)
 {
     EndpointsByCell byCell;
@@ -24,6 +32,10 @@
         if (byCell.empty()) {
             byCell = this->endpointsByCell();
         }
+        if (this->awaitsRooms(now, cell, byCell)) {
+            leader.postponeTransfers(now, idle);
+            continue;
+        }
         for (const IdleJob &job : idle) {
             if (const std::optional<CellName> target = this->chooseTransferTarget(cell, job, byCell)) {
                 leader.transfer(now, job.job->id, *target);
@@ -45,16 +57,50 @@
     return result;
 }
 
+bool Node::awaitsRooms(TimePoint now, const CellName &source, const EndpointsByCell &byCell)
+{
+    std::vector<std::pair<std::optional<TimePoint>, CellName>> candidates;
+    for (const auto &[cell, records] : byCell) {
+        if (cell != source && acceptsJobs(this->cells.at(cell))) {
+            candidates.emplace_back(this->roomsOfCells[cell].askedAt, cell);
+        }
+    }
+    const std::size_t count = std::min(candidates.size(), MaxRoomQueries);
+    std::ranges::partial_sort(candidates, candidates.begin() + static_cast<std::ptrdiff_t>(count));
+    bool isAwaited = false;
+    for (const auto &[askedAt, cell] : std::span(candidates).first(count)) {
+        CellRooms &answer = this->roomsOfCells.at(cell);
+        if (!askedAt || now >= *askedAt + MaxRoomAge) {
+            answer = {{}, now, std::nullopt};
+            if (const auto ledCell = this->ledCells.find(cell); ledCell != this->ledCells.end()) {
+                this->onRoomsAnswered(cell, ledCell->second.leader->rooms(now));
+            } else {
+                this->sendToLeader(cell, LinkRoomQuery{cell});
+            }
+        }
+        isAwaited = isAwaited || (!answer.answeredAt && now < *answer.askedAt + RoomAnswerTimeout);
+    }
+    return isAwaited;
+}
+
+void Node::onRoomsAnswered(const CellName &cell, std::span<const EndpointRoom> rooms)
+{
+    const auto found = this->roomsOfCells.find(cell);
+    if (found == this->roomsOfCells.end()) {
+        return;
+    }
+    found->second.rooms.clear();
+    for (const EndpointRoom &room : rooms) {
+        found->second.rooms.emplace(room.endpoint, room.free);
+    }
+    found->second.answeredAt = this->ports.now();
+}
+
 std::optional<CellName> Node::chooseTransferTarget(const CellName &source, const IdleJob &idle, const EndpointsByCell &byCell)
 {
     const CellJob &job = *idle.job;
-    CellDemand next; // A task of each step that could start.
-    for (const std::uint32_t step : idle.nextSteps) {
-        next.cpu += static_cast<double>(job.spec.steps[step].demand.cpu);
-        next.work += estimatedTaskWork(job.spec.steps[step]);
-    }
     // Compared lexicographically; the smallest rank is the best.
-    using Rank = std::tuple<bool, bool, double>;
+    using Rank = std::tuple<bool, std::int64_t, double>;
     CellView *best = nullptr;
     CellName bestName;
     Rank bestRank;
@@ -67,12 +113,18 @@
             });
         };
         CellView &view = this->cells.at(name);
-        const bool hasRoom = hasRoomFor(view, next);
+        if (name == source || !acceptsJobs(view) || !std::ranges::any_of(idle.nextSteps, canRun)) {
+            continue;
+        }
+        const auto known = this->roomsOfCells.find(name);
+        const auto startable = known == this->roomsOfCells.end()
+                                   ? std::int64_t(0)
+                                   : static_cast<std::int64_t>(countStartableTasks(idle, records, known->second.rooms));
         // A cell that could run the job itself keeps it unless the other one can start it at once.
-        if (name == source || !acceptsJobs(view) || (idle.canRunHere && !hasRoom) || !std::ranges::any_of(idle.nextSteps, canRun)) {
+        if (idle.canRunHere && startable == 0) {
             continue;
         }
-        const Rank rank{!std::ranges::all_of(idle.openSteps, canRun), !hasRoom, view.load.waitingWork + view.sentWork};
+        const Rank rank{!std::ranges::all_of(idle.openSteps, canRun), -startable, view.load.waitingWork + view.sentWork};
         if (!best || rank < bestRank) {
             best = &view;
             bestName = name;
@@ -82,8 +134,17 @@
     if (!best) {
         return std::nullopt;
     }
-    best->sentCpu += next.cpu;
-    best->sentWork += next.work;
+    for (const std::uint32_t step : idle.nextSteps) { // A task of each step that could start.
+        best->sentCpu += static_cast<double>(job.spec.steps[step].demand.cpu);
+        best->sentWork += estimatedTaskWork(job.spec.steps[step]);
+    }
+    if (const auto known = this->roomsOfCells.find(bestName); known != this->roomsOfCells.end()) {
+        takeRoom(idle, byCell.at(bestName), known->second.rooms);
+    }
+    this->log("transfer-chosen", {{"job", job.id.value},
+                                  {"target", bestName.value},
+                                  {"startable", std::to_string(-std::get<1>(bestRank))},
+                                  {"could_run_here", idle.canRunHere ? "yes" : "no"}});
     return bestName;
 }
 
--- a/src/node/tests/link_message_test.cpp
+++ b/src/node/tests/link_message_test.cpp
@@ -83,6 +83,12 @@
             BOOST_TEST(!isRead(advertWith(field, bad)), "field " << field << ": " << bad);
         }
         BOOST_TEST(!isRead(advertWith(6, Json::array({Json::array({"queue", bad})}))), "pending jobs: " << bad);
+        for (const std::size_t field : {1, 2, 3}) {
+            Json room = Json::array({"e1", 8000, 1000, 0});
+            BOOST_TEST(isRead(Json::array({10, Json::array({"a", Json::array({room})})})));
+            room[field] = bad;
+            BOOST_TEST(!isRead(Json::array({10, Json::array({"a", Json::array({room})})})), "room " << field << ": " << bad);
+        }
     }
     for (const double bad : {infinity, -infinity, std::numeric_limits<double>::quiet_NaN()}) {
         BOOST_TEST(!isRead(advertWith(5, bad)), "waiting work: " << bad);
--- a/src/node/tests/node_world.cpp
+++ b/src/node/tests/node_world.cpp
@@ -139,6 +139,15 @@
     return call;
 }
 
+CallId NodeWorld::submitStored(std::size_t node, const JobId &id, StepSpec step)
+{
+    JobSpec spec{std::make_shared<const std::string>("payload"), {std::move(step)}, false};
+    JobTerms terms{QueueName("queue"), ServiceName("service"), 0, 2, 1.6, std::chrono::milliseconds(60)};
+    const CallId call(++this->lastCall);
+    this->nodes[node].node->submit(call, id, std::move(spec), std::move(terms), this->world.now + std::chrono::milliseconds(1500));
+    return call;
+}
+
 CallId NodeWorld::submitQuestion(std::size_t node, const JobId &id)
 {
     const CallId call(++this->lastCall);
--- a/src/node/tests/node_world.h
+++ b/src/node/tests/node_world.h
@@ -103,6 +103,9 @@
     CallId submit(std::size_t node, const JobId &id, std::uint32_t count, Duration patience = std::chrono::milliseconds(1500),
                   bool isBestEffort = true);
 
+    /** Submit a stored job of one step to a node. @return The call. */
+    CallId submitStored(std::size_t node, const JobId &id, StepSpec step);
+
     /** Query the state of a job through a node. @return The call. */
     CallId submitQuestion(std::size_t node, const JobId &id);
 
--- a/src/node/tests/transfer_test.cpp
+++ b/src/node/tests/transfer_test.cpp
@@ -13,6 +13,7 @@
 
 constexpr Duration IdleBound = 3s; // In which a task that could run has to be running, specified by the platform.
 constexpr Duration LeaseEnd = 1100ms; // In which the runs on an endpoint that has left are certainly over.
+constexpr Duration FinishBound = 14s; // `finish_s` of the users' platform: after the traffic each job runs in this time.
 constexpr Duration RecoveryBound = 12s; // `recovery-s` of the users' platform.
 
 const CellName OtherCell("other");
@@ -99,10 +100,120 @@
     }
 };
 
+/** Two failure domains of two instances each; the endpoints have 16 cores, but for the last one of the other domain, which has 24. */
+struct UnevenCells {
+    const FailureDomain home{"cell"};
+    const FailureDomain away{"other"};
+    NodeWorld fleet{{{home, home, away, away}, {home, home, away, away, away}}, 1};
+    const std::size_t homeNode = 0;
+    const std::size_t awayNode = 2;
+    std::uint64_t lastJob = 0;
+
+    UnevenCells()
+    {
+        for (EndpointModel &endpoint : this->fleet.world.endpoints) {
+            endpoint.record.capacity = {16000, 4000, 0};
+            endpoint.record.labels = {endpoint.record.domain.value};
+            endpoint.slots = 16;
+        }
+        this->fleet.world.endpoints.back().record.capacity.cpu = 24000;
+        this->fleet.reportEndpoints();
+        this->fleet.world.workTime = 60s;
+        this->fleet.world.advanceTime(8s);
+    }
+
+    /** Submits a stored job whose tasks demand a processor share and run on an endpoint each, and requires that it is accepted. */
+    JobId submit(std::size_t node, std::uint32_t count, std::int64_t cpu, Duration estimate = 40s)
+    {
+        const std::string digits = std::to_string(++this->lastJob);
+        const JobId id(std::string(16 - digits.size(), '0') + digits);
+        StepSpec step;
+        step.count = count;
+        step.demand = {cpu, 64, 0};
+        step.estimate = estimate;
+        step.maxPerEndpoint = 1;
+        const CallId call = this->fleet.submitStored(node, id, step);
+        this->fleet.world.advanceTime(500ms);
+        const auto &answers = this->fleet.nodes[node].submitAnswers;
+        BOOST_TEST_REQUIRE(answers.contains(call));
+        BOOST_TEST_REQUIRE((answers.at(call).verdict == SubmitVerdict::Accepted));
+        return id;
+    }
+
+    std::size_t startsOf(const JobId &id)
+    {
+        return this->fleet.world.startsOf({id, 0, 0});
+    }
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(Transfer)
 
+// Guards against a job of a full cell that waits beside empty endpoints of another one, as a large task that they can't run waits there
+// (review case 13).
+BOOST_FIXTURE_TEST_CASE(TaskThatWaitsInAnotherCellKeepsNoJobFromItsEmptyEndpoints, UnevenCells)
+{
+    this->submit(this->awayNode, 1, 20000);
+    this->submit(this->homeNode, 2, 9000);
+    const JobId large = this->submit(this->awayNode, 1, 20000);
+    const JobId job = this->submit(this->homeNode, 1, 9000);
+    this->fleet.world.advanceTime(IdleBound);
+    BOOST_TEST(this->startsOf(large) == 0U);
+    BOOST_TEST(this->startsOf(job) == 1U);
+    BOOST_TEST(this->fleet.world.violations.empty());
+}
+
+// Guards against a job that is handed over for free room that no single endpoint of the other cell has.
+BOOST_FIXTURE_TEST_CASE(JobIsNotHandedOverForTheSumOfSmallRooms, UnevenCells)
+{
+    this->submit(this->awayNode, 1, 20000);
+    this->submit(this->awayNode, 3, 4000);
+    this->submit(this->awayNode, 2, 4000); // Leaves 8 cores of the two smaller endpoints.
+    this->submit(this->homeNode, 2, 9000);
+    std::size_t transfers = 0;
+    this->fleet.onLog = [&transfers](std::size_t, const WriteLogLine &line) { transfers += line.event == "job-transferred" ? 1 : 0; };
+    const JobId job = this->submit(this->homeNode, 1, 9000);
+    this->fleet.world.advanceTime(10s);
+    BOOST_TEST(this->startsOf(job) == 0U);
+    BOOST_TEST(transfers == 0U);
+}
+
+// Guards against a small job that waits beside room that tasks of the demand that is typical there can't use.
+BOOST_FIXTURE_TEST_CASE(JobIsHandedOverForRoomThatIsTooSmallForTypicalTasks, UnevenCells)
+{
+    this->submit(this->awayNode, 2, 14000);
+    this->submit(this->awayNode, 1, 20000);
+    this->submit(this->homeNode, 2, 15000);
+    const JobId job = this->submit(this->homeNode, 1, 2000);
+    this->fleet.world.advanceTime(IdleBound);
+    BOOST_TEST(this->startsOf(job) == 1U);
+}
+
+// Guards against jobs that are never offered to another cell, as more jobs than one look covers wait before them for ever.
+BOOST_FIXTURE_TEST_CASE(JobBehindManyThatNoOtherCellTakesIsHandedOver, UnevenCells)
+{
+    this->submit(this->awayNode, 1, 20000);
+    this->submit(this->homeNode, 2, 15000);
+    for (int count = 0; count < 1000; ++count) {
+        const std::string digits = std::to_string(5000 + count);
+        StepSpec step;
+        step.count = 1;
+        step.demand = {16000, 64, 0};
+        step.requirement = this->home.value;
+        this->fleet.submitStored(this->homeNode, JobId(std::string(16 - digits.size(), '0') + digits), step);
+        this->fleet.world.advanceTime(count % 10 == 0 ? 10ms : 0ms);
+    }
+    std::vector<JobId> jobs;
+    for (int count = 0; count < 8; ++count) {
+        jobs.push_back(this->submit(this->homeNode, 1, 3000, 0s));
+    }
+    this->fleet.world.advanceTime(FinishBound);
+    for (const JobId &job : jobs) {
+        BOOST_TEST(this->startsOf(job) == 1U);
+    }
+}
+
 // Guards against accepted jobs that never run once the endpoints of their failure domain have left, while those of others are idle.
 BOOST_FIXTURE_TEST_CASE(JobsOfACellThatHasLostItsEndpointsRunInAnother, TwoCells)
 {
