A suspect starts within seconds beside other runs, on probation

Sixteen tasks of one crash ran two at a time.

Cause: a suspect was started only on an endpoint without runs, and had it for itself until its end. Evidence: tasks-suspected, then no task-start, while the reserved endpoint was expected to be empty 28 s later.

Change: a suspect waits for an empty endpoint for a second at most, then runs beside others; nothing is started beside it until it has run for longer than it had when its endpoint was lost. Evidence against it counts if it was the only suspect there, towards three crashes; suspects that share an endpoint lose it without evidence. Jobs that await evidence aren't handed over.

--- a/src/cells/cell_dispatch.cpp
+++ b/src/cells/cell_dispatch.cpp
@@ -249,14 +249,19 @@
 }
 
 bool CellLeader::canPlace(TimePoint now, const CellEndpoint &endpoint) const
+{
+    const bool isIsolating = endpoint.isReserved || endpoint.hasRunOnProbation(now);
+    return this->acceptsRuns(now, endpoint) && !isIsolating
+           && (!endpoint.health.isSuspect() || (endpoint.runs.empty() && endpoint.health.isTrialDue(now)));
+}
+
+bool CellLeader::acceptsRuns(TimePoint now, const CellEndpoint &endpoint) const
 {
     const bool isAvailable = endpoint.isRegistered && !endpoint.record.isDraining && endpoint.hasListedRuns && endpoint.isInRoster
                              && endpoint.isRecordCurrent() && endpoint.isClockKnown() && now >= endpoint.avoidUntil
                              && endpoint.consecutiveFailures == 0;
-    const bool isIsolating = endpoint.isReserved || endpoint.hasIsolatedRun();
     // A start order extends the leases of all runs.
-    return isAvailable && !isIsolating && !endpoint.hasUnstoppedRun()
-           && (!endpoint.health.isSuspect() || (endpoint.runs.empty() && endpoint.health.isTrialDue(now)));
+    return isAvailable && !endpoint.hasUnstoppedRun();
 }
 
 PlacementPass &CellLeader::placementPass(TimePoint now, const ServiceName &service)
@@ -402,6 +407,7 @@
     run.run = RunNumber(this->lastFormerRunNumber(job) + record.starts);
     run.demand = job.step(task).demand;
     run.confirmedAt = now;
+    run.startedAt = now;
     run.expectedEnd = now + expectedRunTime(endpoint, job.step(task), this->remoteFactor);
     const Duration validity = std::min(StartValidity, this->longestRunTimeFor(now, job.id));
     run.startDeadlineMs = endpoint.estimatedClockMs(now) + toMs(this->leaseFor(now, endpoint, validity));
@@ -620,7 +626,7 @@
         }
         endpoint->consecutiveFailures = 0;
         endpoint->lastContactAt = now;
-        endpoint->wasLostIsolated = false;
+        endpoint->wasLostOnProbation = false;
         endpoint->updateClock(now, result.clockMs);
         if (!endpoint->hasListedRuns) {
             // A former leader may have just granted the longest lease, whether or not anything of it still runs.
@@ -775,6 +781,7 @@
     RunRecord run;
     run.run = listed.run;
     run.confirmedAt = now;
+    run.startedAt = now;
     run.isListed = true;
     run.mayArriveLate = true; // The leader that started the run may have repeated the order.
     const bool isKnownTask = job && job->hasTask(listed.task);
--- a/src/cells/cell_endpoint.cpp
+++ b/src/cells/cell_endpoint.cpp
@@ -59,7 +59,7 @@
     this->nextHoldAt = now;
     this->avoidUntil = {};
     this->consecutiveFailures = 0;
-    this->wasLostIsolated = false;
+    this->wasLostOnProbation = false;
     this->health = {};
     this->speed = {};
     this->clock.reset();
@@ -80,9 +80,9 @@
     return free;
 }
 
-bool CellEndpoint::hasIsolatedRun() const
+bool CellEndpoint::hasRunOnProbation(TimePoint time) const
 {
-    return std::ranges::any_of(this->runs, [](const auto &entry) { return entry.second.isIsolated; });
+    return std::ranges::any_of(this->runs, [time](const auto &entry) { return entry.second.probationUntil > time; });
 }
 
 bool CellEndpoint::hasUnstoppedRun() const
--- a/src/cells/cell_endpoint.h
+++ b/src/cells/cell_endpoint.h
@@ -25,13 +25,14 @@
     RunPhase phase = RunPhase::Starting;
     Resources demand; ///< Resources that the run occupies.
     TimePoint confirmedAt; ///< When the endpoint last confirmed the run or its stop; until then, when the start was ordered.
+    TimePoint startedAt; ///< When the start was ordered, or when this leader first learnt of the run.
     std::int64_t startDeadlineMs = 0; ///< On the endpoint's clock: the endpoint doesn't start the run after this time.
     bool isStartRepeated = false; ///< Whether the start order got no answer and was sent again.
     bool isStopConfirmed = false; ///< Whether the endpoint confirmed the stop.
     bool isStopInFlight = false; ///< Whether a stop order is in flight.
     bool isStopUnanswered = false; ///< Whether a stop order got no answer.
     bool isStopOutdated = false; ///< Whether the stop order in flight was sent to a former incarnation of the endpoint.
-    bool isIsolated = false; ///< Whether no other run may be placed beside this one.
+    TimePoint probationUntil; ///< No other run is placed beside this one before; TimePoint() if it isn't on probation.
     bool isListed = false; ///< Whether the present incarnation of the endpoint has listed the run.
     bool isCarriedOver = false; ///< Whether the start was ordered from a former incarnation, so that `startDeadlineMs` refers to its clock.
     bool mayArriveLate = false; ///< Whether an order to start the run may still be under way.
@@ -106,7 +107,7 @@
     EndpointSpeed speed; ///< Lasting speed relative to the cell, as learnt from the endpoint's runs.
     std::uint32_t consecutiveFailures = 0; ///< Unanswered calls since the last answer.
     TimePoint unreachableSince; ///< When the first of these calls failed; valid if there are any.
-    bool wasLostIsolated = false; ///< Whether the endpoint was lost while a run on it excluded others, and has not answered since.
+    bool wasLostOnProbation = false; ///< Whether the endpoint was lost while a run on it was on probation, and has not answered since.
     bool isReserved = false; ///< Whether the endpoint gets no runs because a task waits to run alone there.
     Resources used; ///< Resources that the runs occupy.
     std::optional<std::int64_t> born; ///< Start of the present incarnation in Unix milliseconds; unset if it isn't known or not reported.
@@ -128,8 +129,8 @@
     /** @return Free resources; negative if the endpoint is overcommitted. */
     Resources freeResources() const;
 
-    /** @return Whether a run on the endpoint excludes others. */
-    bool hasIsolatedRun() const;
+    /** @return Whether a run on the endpoint was on probation at a time, so that it excluded others. */
+    bool hasRunOnProbation(TimePoint time) const;
 
     /** Records a reading of the endpoint's clock from an answer. */
     void updateClock(TimePoint now, std::int64_t clockMs);
--- a/src/cells/cell_leader.h
+++ b/src/cells/cell_leader.h
@@ -275,15 +275,30 @@
     void refuseOverloaded(TimePoint now, CallId call, const CellJob &job, std::string_view cause);
 
     // cell_isolation.cpp: tasks under which endpoints were lost.
+    /** A task that waits to run on probation. */
+    struct IsolatedTask {
+        TaskRef task;
+        TimePoint since; ///< When it began to wait.
+    };
     std::size_t countLossesAround(TimePoint time) const;
-    std::vector<LostTask> unfinishedTasksOn(const CellEndpoint &endpoint, bool isReplaced) const;
+    std::vector<LostTask> unfinishedTasksOn(const CellEndpoint &endpoint, bool isReplaced, TimePoint lostAt) const;
     std::vector<EndpointName> predecessorsOf(const CellEndpoint &endpoint) const;
     void recordLoss(TimePoint now, CellEndpoint &endpoint, bool isReplaced); ///< @param isReplaced Whether another incarnation was seen.
     void isolateSuspects(TimePoint now, CellJob &job);
-    std::size_t isolationRoom() const; ///< Number of endpoints that further isolated tasks may take.
+    /** Number of endpoints that further suspects may take from other tasks. */
+    struct IsolationRoom {
+        std::size_t usual = 0;
+        std::size_t overdue = 0; ///< The same for a suspect that has waited for too long.
+
+        void takeOne();
+    };
+    IsolationRoom isolationRoom(TimePoint now) const;
+    bool awaitsEvidence(const CellJob &job, TimePoint now) const; ///< @return Whether all startable tasks of a job await evidence.
     bool settleIsolatedTask(TimePoint now, const TaskRef &task, CrashVerdict verdict); ///< @return Whether the task waits no longer.
     void startIsolatedTasks(TimePoint now);
-    CellEndpoint *chooseForIsolation(TimePoint now, const CellJob &job, const TaskRef &task);
+    CellEndpoint *chooseForIsolation(TimePoint now, const CellJob &job, const IsolatedTask &waiting);
+    CellEndpoint *chooseForSharedProbation(TimePoint now, const CellJob &job, const IsolatedTask &waiting);
+    void startOnProbation(TimePoint now, CellJob &job, const IsolatedTask &waiting, CellEndpoint &endpoint);
     void failDeadlyJob(TimePoint now, const std::shared_ptr<CellJob> &job, const TaskRef &task);
     void forgetCrashes(const CellJob &job);
 
@@ -335,6 +350,7 @@
     void refreshRanks(TimePoint now);
     void stopStalledRuns(TimePoint now, CellEndpoint &endpoint);
     bool canPlace(TimePoint now, const CellEndpoint &endpoint) const;
+    bool acceptsRuns(TimePoint now, const CellEndpoint &endpoint) const; ///< As canPlace(), whatever is suspected there.
     PlacementPass &placementPass(TimePoint now, const ServiceName &service);
     void updateSpeeds(TimePoint now);
     double effectiveCapacityCpu() const; ///< Available capacity weighted by speed, in thousandths of a core.
@@ -421,7 +437,7 @@
     TimePoint lastCutPassLoggedAt; ///< When a pass that left waiting jobs unexamined was last logged.
     std::set<JobRank> readyJobs; ///< Ranks of the jobs with waiting tasks; unrelated to the configured queues.
     CrashHistory crashes; ///< Endpoints that were lost while tasks ran on them.
-    std::deque<TaskRef> isolatedTasks; ///< Tasks of phase Isolated, oldest first; tasks that have left the phase are removed lazily.
+    std::deque<IsolatedTask> isolatedTasks; ///< Tasks of phase Isolated, oldest first; tasks that have left the phase are removed lazily.
     bool hasReservations = false; ///< Whether an endpoint is reserved for an isolated task.
     bool isCrashRowUrgent = false; ///< Whether a loss isn't stored yet; isolated tasks wait for that.
     bool isCrashRowDirty = false; ///< Whether the stored crashes are out of date.
--- a/src/cells/cell_transfer.cpp
+++ b/src/cells/cell_transfer.cpp
@@ -86,7 +86,8 @@
         if (idle.size() == MaxIdleJobs) {
             break;
         }
-        if (!this->canBeTransferred(now, *job)) {
+        // A job that awaits evidence would do so in the other cell as well.
+        if (!this->canBeTransferred(now, *job) || this->awaitsEvidence(*job, now)) {
             continue;
         }
         this->transferableAt[job->id] = now + RepeatedOfferInterval;
--- a/src/cells/crash_history.h
+++ b/src/cells/crash_history.h
@@ -4,7 +4,8 @@
  * Pattern: deadly tasks. A task may crash each endpoint that starts it. If its lost run is repeated like any other, it takes down one
  * endpoint after the other; a few dozen such tasks crash a fleet faster than its endpoints restart. The tasks beside it lose their runs as
  * well and look the same at first. After its first loss a task runs alone on an endpoint: the next crash is then its own, and takes no
- * other task along.
+ * other task along. Where no endpoint is empty in time, it runs beside others on probation: until it has run for
+ * longer than it had when an endpoint was lost under it, no other task is started beside it.
  */
 #pragma once
 
@@ -28,6 +29,9 @@
 struct LostTask {
     TaskRef task;
     bool wasRunning = false; ///< Whether the endpoint had confirmed the run. If not, it may have crashed before the order arrived.
+    std::optional<Duration> ranFor = std::nullopt; ///< How long the run had lasted at most; unset if it isn't known.
+    bool wasOnlySuspect
+        = false; ///< Whether the run was on probation, and all others on the endpoint had lasted for a while before it began.
 
     friend bool operator==(const LostTask &, const LostTask &) = default;
 };
@@ -47,7 +51,7 @@
 /** What follows for a task from the endpoints that were lost under it. */
 enum class CrashVerdict : std::uint8_t {
     None, ///< The task may run beside others.
-    RunAlone, ///< The task may run on an endpoint without other runs only.
+    RunOnProbation, ///< The task may run, on an endpoint of its own if possible, and no other run may be started beside it for a while.
     AwaitEvidence, ///< The task must not start until it is known whether the endpoints crashed.
     Deadly, ///< The task must not start again; its job fails.
 };
@@ -82,6 +86,12 @@
     /** @return What follows for a task. */
     CrashVerdict verdict(const TaskRef &task, TimePoint now) const;
 
+    /** @return Number of endpoints that were lost under a task. */
+    std::size_t lossesUnder(const TaskRef &task) const;
+
+    /** @return Time for which a run of a task is on probation; Duration::max() until its end. */
+    Duration probationOf(const TaskRef &task) const;
+
     /** @return Whether a task of a job was lost with an endpoint. */
     bool concerns(const JobId &job) const;
 
--- a/src/cells/job_cbor.cpp
+++ b/src/cells/job_cbor.cpp
@@ -251,7 +251,8 @@
     for (const EndpointLoss &loss : losses) {
         Json tasks = Json::array();
         for (const LostTask &lost : loss.tasks) {
-            tasks.push_back({lost.task.job.value, lost.task.step, lost.task.index, lost.wasRunning});
+            tasks.push_back({lost.task.job.value, lost.task.step, lost.task.index, lost.wasRunning,
+                             lost.ranFor ? Json(toMs(*lost.ranFor)) : Json(), lost.wasOnlySuspect});
         }
         Json predecessors = Json::array();
         for (const EndpointName &name : loss.predecessors) {
@@ -276,7 +277,13 @@
         for (const Json &task : row.at(5)) {
             const TaskRef ref{JobId(task.at(0).get<std::string>()), integerFromJson<std::uint32_t>(task.at(1), "step"),
                               integerFromJson<std::uint32_t>(task.at(2), "task")};
-            loss.tasks.push_back({ref, task.at(3).get<bool>()});
+            LostTask lost{ref, task.at(3).get<bool>(), std::nullopt, false};
+            if (task.size() > 5) { // Rows of earlier versions don't have the rest.
+                lost.ranFor
+                    = task.at(4).is_null() ? std::nullopt : std::optional(millisecondsFromJson(task.at(4), "run time", MaxEstimate));
+                lost.wasOnlySuspect = task.at(5).get<bool>();
+            }
+            loss.tasks.push_back(std::move(lost));
         }
         // Rows of earlier versions don't name predecessors.
         for (const Json &name : row.size() > 6 ? row.at(6) : Json::array()) {
